--- /dev/null
+++ b/src/cmd/args.rs
@@ -0,0 +1,164 @@
+//! The command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use bpaf::{Bpaf, Parser as _};
+
+use crate::targets::Version;
+
+/// What to do.
+#[derive(Debug, Clone)]
+pub(super) enum Command {
+    Daemon(Daemon),
+    Check(Check),
+    Apply(Apply),
+    Diff(Diff),
+    Show(Show),
+    Status(Status),
+    Audit(Audit),
+    Drain(Drain),
+    Ticket(Ticket),
+}
+
+/// The parser of the command line.
+pub(super) fn command() -> bpaf::OptionParser<Command> {
+    let daemon = daemon().map(Command::Daemon);
+    let check = check().map(Command::Check);
+    let apply = apply().map(Command::Apply);
+    let diff = diff().map(Command::Diff);
+    let show = show().map(Command::Show);
+    let status = status().map(Command::Status);
+    let audit = audit().map(Command::Audit);
+    let drain = drain().map(Command::Drain);
+    let ticket = ticket().map(Command::Ticket);
+    bpaf::construct!([daemon, check, apply, diff, show, status, audit, drain, ticket])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("A proxy fleet for back ends with gray failures")
+        .footer("Operators write targets; the system is responsible for outcomes. See docs/OPERATING.md.")
+}
+
+/// Run a daemon beside the endpoints of this VM
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach daemon --settings /etc/jayreach.toml"))]
+pub(super) struct Daemon {
+    /// The daemon's settings
+    #[bpaf(argument("FILE"))]
+    pub(super) settings: PathBuf,
+}
+
+/// Check a targets file, or a settings file, and report all findings
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach check targets.toml\nExample: jayreach check --settings jayreach.toml"))]
+pub(super) struct Check {
+    /// The file holds a daemon's settings
+    pub(super) settings: bool,
+    /// The file to check
+    #[bpaf(positional("FILE"))]
+    pub(super) file: PathBuf,
+}
+
+/// Make a targets file the configuration
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(
+    command,
+    footer("Example: jayreach apply targets.toml --store 10.0.0.2:7000 --why 'charges may take 3 s' --wait")
+)]
+pub(super) struct Apply {
+    #[bpaf(external)]
+    pub(super) store: SocketAddr,
+    /// The version the change is made from; another one in force is a conflict
+    #[bpaf(argument("VERSION"))]
+    pub(super) based_on: Option<Version>,
+    /// Who makes the change
+    #[bpaf(argument("NAME"), env("USER"), fallback("unknown".into()))]
+    pub(super) who: String,
+    /// Why the change is made
+    #[bpaf(argument("TEXT"))]
+    pub(super) why: String,
+    /// Wait until the change is in force in every daemon that this daemon knows
+    pub(super) wait: bool,
+    /// The local address of a daemon to ask, with --wait
+    #[bpaf(argument("ADDRESS"))]
+    pub(super) daemon: Option<SocketAddr>,
+    /// How many seconds to try, and to wait
+    #[bpaf(argument("SECONDS"), fallback(30))]
+    pub(super) patience: u64,
+    /// Print JSON
+    pub(super) json: bool,
+    /// The targets file
+    #[bpaf(positional("FILE"))]
+    pub(super) file: PathBuf,
+}
+
+/// Compare a targets file with the configuration in force
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach diff targets.toml --store 10.0.0.2:7000"))]
+pub(super) struct Diff {
+    #[bpaf(external)]
+    pub(super) store: SocketAddr,
+    /// Print JSON
+    pub(super) json: bool,
+    /// The targets file
+    #[bpaf(positional("FILE"))]
+    pub(super) file: PathBuf,
+}
+
+/// Print the configuration in force as a targets file
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach show --store 10.0.0.2:7000 > targets.toml"))]
+pub(super) struct Show {
+    #[bpaf(external)]
+    pub(super) store: SocketAddr,
+}
+
+/// Print what a daemon knows
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach status --daemon 10.0.0.7:7102 --json"))]
+pub(super) struct Status {
+    #[bpaf(external(daemon_address))]
+    pub(super) daemon: SocketAddr,
+    /// Print JSON
+    pub(super) json: bool,
+}
+
+/// Print who changed the configuration, when, why and what
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach audit --store 10.0.0.2:7000 --last 5"))]
+pub(super) struct Audit {
+    #[bpaf(external)]
+    pub(super) store: SocketAddr,
+    /// How many changes to print, the newest first
+    #[bpaf(argument("COUNT"), fallback(20))]
+    pub(super) last: usize,
+    /// Print JSON
+    pub(super) json: bool,
+}
+
+/// Stop a daemon gracefully, as SIGTERM does
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach drain --daemon 10.0.0.7:7102"))]
+pub(super) struct Drain {
+    #[bpaf(external(daemon_address))]
+    pub(super) daemon: SocketAddr,
+}
+
+/// Print what is known of a ticket
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command, footer("Example: jayreach ticket --callers 10.0.0.7:7100 vm-7.1842.12"))]
+pub(super) struct Ticket {
+    /// The callers' address of any daemon
+    #[bpaf(argument("ADDRESS"))]
+    pub(super) callers: SocketAddr,
+    /// The ticket
+    #[bpaf(positional("TICKET"))]
+    pub(super) ticket: String,
+}
+
+fn store() -> impl bpaf::Parser<SocketAddr> {
+    bpaf::long("store").help("The platform's store").env("JAYREACH_STORE").argument("ADDRESS")
+}
+
+fn daemon_address() -> impl bpaf::Parser<SocketAddr> {
+    bpaf::long("daemon").help("The local address of a daemon").env("JAYREACH_DAEMON").argument("ADDRESS")
+}
--- /dev/null
+++ b/src/cmd/audit.rs
@@ -0,0 +1,24 @@
+//! `jayreach audit`
+
+use crate::{
+    cmd::{Run, args, print_json},
+    error::Error,
+    platform::{StoreClient, audit_trail},
+    targets::Change,
+};
+
+impl Run for args::Audit {
+    fn run(self) -> Result<(), Error> {
+        let entries = audit_trail(&StoreClient::new(self.store), self.last)?;
+        if self.json {
+            print_json(&entries);
+            return Ok(());
+        }
+        for it in entries {
+            let Change { id, who, when, why } = &it.change;
+            println!("version {}  change {id:016x}  at {when} s since 1970  by {who}: {why}", it.version);
+            it.differences.iter().for_each(|it| println!("  {it}"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,28 @@
+//! `jayreach diff`
+
+use crate::{
+    cmd::{Run, args, in_force, print_json, read_targets},
+    error::Error,
+    platform::StoreClient,
+    targets::{Targets, differences},
+};
+
+impl Run for args::Diff {
+    fn run(self) -> Result<(), Error> {
+        let new = read_targets(&self.file)?.targets;
+        let old = in_force(&StoreClient::new(self.store))?;
+        let old = old.map_or_else(Targets::default, |(_, _, targets)| targets);
+        let list = differences(&old, &new);
+        if self.json {
+            print_json(&list);
+            return Ok(());
+        }
+        if list.is_empty() {
+            println!("nothing differs");
+        }
+        for it in list {
+            println!("{it}");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/daemon/local.rs
@@ -0,0 +1,171 @@
+//! The local listener: endpoints announce themselves, operators look and steer.
+
+use std::{sync::Arc, time::Instant};
+
+use serde::{Deserialize, Serialize};
+use tiny_http::{Method, Request, Server};
+
+use crate::{
+    daemon::{
+        Announcement, Daemon,
+        client::Connection,
+        http::{path, read_body, respond, respond_json},
+        peers::{CONTROL_TIMEOUT, PeerCall},
+        view::ServiceCount,
+    },
+    rows::EndpointRow,
+    util::lock,
+    wire::InForce,
+};
+
+/// A body that is not what the path wants.
+#[derive(Serialize)]
+struct Refused {
+    error: String,
+}
+
+/// A daemon's status, for operators.
+#[derive(Serialize)]
+struct Status<'a> {
+    name: &'a str,
+    incarnation: u64,
+    data_centre: &'a str,
+    phase: super::phase::Phase,
+    config_version: u64,
+    uptime_s: u64,
+    in_flight: usize,
+    daemons: usize,
+    daemons_down: usize,
+    ticket_records: usize,
+    guard: super::guard::GuardCount,
+    endpoints: Vec<EndpointRow>,
+    services: Vec<ServiceCount>,
+}
+
+/// Where a version is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForceCount {
+    /// How many daemons were asked.
+    pub daemons: usize,
+    /// How many have the version, or a later one, in force.
+    pub in_force: usize,
+    /// The daemons that have an earlier one.
+    pub behind: Vec<Box<str>>,
+    /// The daemons that did not answer.
+    pub silent: Vec<Box<str>>,
+}
+
+/// Answers until the server is unblocked.
+pub(crate) fn serve(daemon: &Arc<Daemon>, server: &Server) {
+    while let Ok(req) = server.recv() {
+        let cx = Arc::clone(daemon);
+        let slot = Arc::new(std::sync::Mutex::new(Some(req)));
+        let taken = Arc::clone(&slot);
+        let job = Box::new(move || {
+            if let Some(req) = lock(&taken).take() {
+                answer(&cx, req);
+            }
+        });
+        if daemon.pools.control.run(job, 1.0).is_err()
+            && let Some(req) = lock(&slot).take()
+        {
+            respond(req, 503, &[("Retry-After", "1")], Vec::new());
+        }
+    }
+}
+
+fn answer(daemon: &Arc<Daemon>, req: Request) {
+    let target: Box<str> = req.url().into();
+    match (req.method(), path(&target)) {
+        (Method::Post, "/announce") => announce(daemon, req),
+        (Method::Get, "/status") => status(daemon, req),
+        (Method::Get, "/metrics") => {
+            let text = daemon.metrics.render().into_bytes();
+            respond(req, 200, &[("Content-Type", "text/plain; version=0.0.4")], text);
+        }
+        (Method::Get, "/in-force") => in_force(daemon, req, &target),
+        (Method::Post, "/drain") => drain(daemon, req),
+        (Method::Post, "/tickets") => {
+            let ticket = daemon.home.issue(1).remove(0);
+            respond(req, 200, &[], ticket.to_string().into_bytes());
+        }
+        _ => respond(req, 404, &[], Vec::new()),
+    }
+}
+
+fn announce(daemon: &Arc<Daemon>, mut req: Request) {
+    let parsed = read_body(&mut req).ok().map(|it| serde_json::from_slice::<Announcement>(&it));
+    match parsed {
+        Some(Ok(it)) if it.slots == 0 => refuse(req, "`slots` must be 1 or more".into()),
+        Some(Ok(it)) => {
+            if daemon.guard.announce(&it, Instant::now()) {
+                daemon.refresh_row();
+            }
+            respond(req, 200, &[], Vec::new());
+        }
+        Some(Err(error)) => refuse(req, error.to_string()),
+        None => refuse(req, "the body is too large or was cut short".into()),
+    }
+}
+
+fn refuse(req: Request, error: String) {
+    respond_json(req, 400, &Refused { error });
+}
+
+fn status(daemon: &Daemon, req: Request) {
+    let (daemons, daemons_down) = {
+        let table = lock(&daemon.table);
+        (table.live().count() + 1, table.down().count())
+    };
+    let status = Status {
+        name: &daemon.settings.name,
+        incarnation: daemon.incarnation,
+        data_centre: &daemon.settings.data_centre,
+        phase: daemon.phase.get(),
+        config_version: daemon.config.version(),
+        uptime_s: daemon.started.elapsed().as_secs(),
+        in_flight: daemon.in_flight(),
+        daemons,
+        daemons_down,
+        ticket_records: daemon.home.tally().records,
+        guard: daemon.guard.count(),
+        endpoints: daemon.guard.rows(),
+        services: daemon.view.counts(),
+    };
+    respond_json(req, 200, &status);
+}
+
+/// Asks every daemon which version it has in force.
+fn in_force(daemon: &Daemon, req: Request, target: &str) {
+    let Some(version) = super::http::query(target, "version").and_then(|it| it.parse().ok()) else {
+        return refuse(req, "`version` must be a number".into());
+    };
+    let peers: Vec<_> = lock(&daemon.table).live().filter(|it| !it.leaving).cloned().collect();
+    let mut count = InForceCount { daemons: peers.len() + 1, in_force: 0, behind: Vec::new(), silent: Vec::new() };
+    count.add(&daemon.settings.name, Some(daemon.config.version()), version);
+    for row in peers {
+        let answer = daemon.peers.call(row.peers, PeerCall::InForce, &(), Connection::Fresh, CONTROL_TIMEOUT);
+        let has = answer.ok().map(|it: InForce| it.version);
+        count.add(&row.daemon, has, version);
+    }
+    respond_json(req, 200, &count);
+}
+
+impl InForceCount {
+    fn add(&mut self, daemon: &str, has: Option<u64>, version: u64) {
+        match has {
+            Some(it) if it >= version => self.in_force += 1,
+            Some(_) => self.behind.push(daemon.into()),
+            None => self.silent.push(daemon.into()),
+        }
+    }
+}
+
+/// Stops the daemon as SIGTERM does.
+fn drain(daemon: &Daemon, req: Request) {
+    log::info!(daemon = &*daemon.settings.name; "told to drain");
+    respond(req, 202, &[], Vec::new());
+    if let Err(error) = signal_hook::low_level::raise(signal_hook::consts::SIGTERM) {
+        log::error!("the stop signal could not be raised: {error}");
+    }
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,333 @@
+//! The daemon: threads and sockets around the decisions.
+//!
+//! Locks are held one at a time, but for the table's, under which the view is brought up to date.
+
+mod callers;
+mod client;
+mod config;
+mod desk;
+mod guard;
+mod http;
+mod ingress;
+mod local;
+mod membership;
+mod peers;
+mod phase;
+mod pool;
+mod spread;
+mod view;
+mod watcher;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use rand::RngExt as _;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+pub use guard::{AnnouncedState, Announcement};
+pub use local::InForceCount;
+pub use spread::FANOUT;
+
+use crate::{
+    daemon::{
+        client::Client,
+        config::ConfigCell,
+        desk::HomeDesk,
+        guard::{GuardDesk, Measure},
+        peers::Peers,
+        phase::{Phase, PhaseCell, PhaseEvent},
+        pool::Pool,
+        view::View,
+    },
+    decide::RetryBudget,
+    error::Error,
+    platform::{Platform, StoreClient},
+    rows::{Incarnation, Row, Stamp, Table},
+    settings::Settings,
+    targets::{Importance, Weighs},
+    util::{lock, unix_seconds},
+    wire::{Dispatch, DispatchReply},
+};
+
+/// How many callers' requests are answered at once.
+const CALLER_THREADS: usize = 256;
+/// How much of peers' work is done at once.
+const WORK_THREADS: usize = 512;
+/// How many of peers' control calls are answered at once.
+const CONTROL_THREADS: usize = 32;
+/// How often time passes for endpoints.
+const TICK: Duration = Duration::from_millis(100);
+/// How often ticket records expire and unknown ones are asked about.
+const RECORDS_TICK: Duration = Duration::from_secs(1);
+/// How long a daemon that leaves goes on refusing before it looks whether it is idle.
+const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// How long work in flight may take to end after a stop; beyond any class's lateness.
+const DRAIN_LIMIT: Duration = Duration::from_secs(125);
+/// How long a drained daemon stays for callers that fetch recorded answers.
+const LINGER: Duration = Duration::from_secs(2);
+/// The buckets of the histogram of request times, in seconds.
+const BUCKETS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// The pools of threads, so that no kind of work takes another's.
+struct Pools {
+    callers: Pool,
+    work: Pool,
+    control: Pool,
+}
+
+/// The retry budgets by class.
+#[derive(Default)]
+struct Budgets(Mutex<BTreeMap<Box<str>, RetryBudget>>);
+
+impl Budgets {
+    fn earn(&self, class: &str) {
+        self.with(class, RetryBudget::earn);
+    }
+
+    fn spend(&self, class: &str) -> bool {
+        self.with(class, RetryBudget::spend)
+    }
+
+    fn with<T>(&self, class: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = lock(&self.0);
+        if let Some(it) = budgets.get_mut(class) {
+            return act(it);
+        }
+        act(budgets.entry(class.into()).or_default())
+    }
+}
+
+/// One daemon's state, shared by its threads.
+pub(crate) struct Daemon {
+    settings: Settings,
+    incarnation: Incarnation,
+    started: Instant,
+    phase: PhaseCell,
+    config: ConfigCell,
+    table: Mutex<Table>,
+    view: View,
+    home: HomeDesk,
+    guard: GuardDesk,
+    client: Arc<Client>,
+    peers: Peers,
+    platform: Box<dyn Platform>,
+    pools: Pools,
+    budgets: Budgets,
+    working: Arc<AtomicUsize>,
+    news: crossbeam::channel::Sender<Vec<Row>>,
+    metrics: PrometheusHandle,
+}
+
+/// A caller's request that is being answered, until closed.
+struct Working(Arc<AtomicUsize>);
+
+impl Working {
+    fn close(self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Runs a daemon until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|it| Error::io("taking signals", it))?;
+    let callers = Arc::new(http::listen(settings.callers)?);
+    let peers = Arc::new(http::listen(settings.peers)?);
+    let local = Arc::new(http::listen(settings.local)?);
+    let (tx, rx) = crossbeam::channel::unbounded();
+    let daemon = Arc::new(Daemon::new(settings, tx)?);
+    spawn("peers", &daemon, move |it| peers::serve(it, &peers));
+    spawn("local", &daemon, move |it| local::serve(it, &local));
+    spawn("callers", &daemon, move |it| callers::serve(it, &callers));
+    spawn("spread", &daemon, move |it| spread::run(it, &rx));
+    spawn("membership", &daemon, membership::run);
+    spawn("watcher", &daemon, watcher::run);
+    spawn("presence", &daemon, watcher::announce);
+    spawn("tick", &daemon, tick);
+    spawn("records", &daemon, records);
+    log::info!(daemon = &*daemon.settings.name, incarnation = daemon.incarnation; "started");
+    signals.forever().next();
+    leave(&daemon);
+    Ok(())
+}
+
+fn spawn(name: &'static str, daemon: &Arc<Daemon>, act: impl FnOnce(&Arc<Daemon>) + Send + 'static) {
+    let daemon = Arc::clone(daemon);
+    let result = thread::Builder::new().name(name.into()).spawn(move || act(&daemon));
+    result.expect("a daemon can start its first threads");
+}
+
+/// Lets time pass for the endpoints.
+fn tick(daemon: &Arc<Daemon>) {
+    loop {
+        thread::sleep(TICK);
+        if daemon.guard.tick(Instant::now()) {
+            daemon.refresh_row();
+        }
+    }
+}
+
+/// Lets ticket records expire, and clears up unknown ones.
+fn records(daemon: &Arc<Daemon>) {
+    loop {
+        thread::sleep(RECORDS_TICK);
+        daemon.home.expire();
+        daemon.resolve_unknown();
+        daemon.gauge();
+    }
+}
+
+/// Leaves: refuses new work, finishes what is in flight, stays a while for recorded answers.
+fn leave(daemon: &Arc<Daemon>) {
+    daemon.phase.on(PhaseEvent::Stop);
+    daemon.edit_row(|it| it.leaving = true);
+    thread::sleep(LEAVE_NOTICE);
+    let deadline = Instant::now() + DRAIN_LIMIT;
+    while daemon.in_flight() > 0 && Instant::now() < deadline {
+        thread::sleep(TICK);
+    }
+    daemon.phase.on(PhaseEvent::Drained);
+    thread::sleep(LINGER);
+    watcher::withdraw(daemon);
+    daemon.phase.on(PhaseEvent::AnswersFetched);
+    log::info!(in_flight = daemon.in_flight(); "stopped");
+}
+
+impl Daemon {
+    fn new(settings: Settings, news: crossbeam::channel::Sender<Vec<Row>>) -> Result<Self, Error> {
+        let now = Instant::now();
+        let incarnation = incarnation();
+        let client = Arc::new(Client::new());
+        let row = Row {
+            daemon: settings.name.clone(),
+            stamp: Stamp { incarnation, sequence: 1, down: false },
+            data_centre: settings.data_centre.clone(),
+            peers: settings.peers,
+            leaving: false,
+            endpoints: Vec::new(),
+        };
+        Ok(Self {
+            incarnation,
+            started: now,
+            phase: PhaseCell::default(),
+            config: ConfigCell::default(),
+            table: Mutex::new(Table::new(row, now)),
+            view: View::new(settings.data_centre.clone()),
+            home: HomeDesk::new(settings.name.clone(), incarnation),
+            guard: GuardDesk::new(incarnation),
+            peers: Peers::new(Arc::clone(&client), settings.peer_key.clone()),
+            client,
+            platform: Box::new(StoreClient::new(settings.platform)),
+            pools: Pools {
+                callers: Pool::new("caller", CALLER_THREADS),
+                work: Pool::new("work", WORK_THREADS),
+                control: Pool::new("control", CONTROL_THREADS),
+            },
+            budgets: Budgets::default(),
+            working: Arc::default(),
+            news,
+            metrics: metrics_recorder()?,
+            settings,
+        })
+    }
+
+    fn leaving(&self) -> bool {
+        !matches!(self.phase.get(), Phase::Joining | Phase::Serving)
+    }
+
+    /// Counts a caller's request until the value is closed.
+    fn working(&self) -> Working {
+        self.working.fetch_add(1, Ordering::AcqRel);
+        Working(Arc::clone(&self.working))
+    }
+
+    /// Requests and dispatches that are not answered yet.
+    fn in_flight(&self) -> usize {
+        self.working.load(Ordering::Acquire)
+    }
+
+    /// The share of a pool that work of this importance may fill; the most important may fill all.
+    fn share(&self, importance: Importance) -> f64 {
+        let share = self.config.get().map_or(1.0, |it| it.directory.share_up_to(importance));
+        0.5 + 0.5 * share
+    }
+
+    /// Runs a dispatch on an endpoint of this guard.
+    fn execute(&self, dispatch: &Dispatch) -> DispatchReply {
+        let working = self.working();
+        let reply = self.guard.execute(&self.client, dispatch, |it| self.measure(it), || self.refresh_row());
+        working.close();
+        reply
+    }
+
+    fn measure(&self, endpoint: &str) -> Measure {
+        let service = self.guard.service_of(endpoint).unwrap_or_default();
+        let config = self.config.get();
+        let weighs = config.as_ref().and_then(|it| it.directory.service(&service)).map(|it| it.weighs);
+        Measure { baseline: self.view.baseline(&service, endpoint), weighs: weighs.unwrap_or(Weighs::FalseEjections) }
+    }
+
+    /// Brings the own row up to date with the guard's endpoints.
+    fn refresh_row(&self) {
+        let endpoints = self.guard.rows();
+        self.edit_row(|it| it.endpoints = endpoints);
+    }
+
+    /// Changes the own row and tells the fleet.
+    fn edit_row(&self, edit: impl FnOnce(&mut Row)) {
+        let mut table = lock(&self.table);
+        table.edit_own(Instant::now(), edit);
+        let row = Row::clone(table.own());
+        self.take_in(&row);
+        drop(table);
+        self.tell_news(vec![row]);
+    }
+
+    /// Brings the view up to date with a row; called under the table's lock, so that rows arrive
+    /// here in their order.
+    fn take_in(&self, row: &Row) {
+        let config = self.config.get();
+        self.view.apply(row, config.as_ref().map(|it| &it.directory));
+    }
+
+    fn tell_news(&self, rows: Vec<Row>) {
+        // The receiver lives as long as the process.
+        _ = self.news.send(rows);
+    }
+
+    fn gauge(&self) {
+        let tally = self.home.tally();
+        metrics::gauge!("jayreach_ticket_records").set(tally.records as f64);
+        metrics::gauge!("jayreach_config_version").set(self.config.version() as f64);
+        metrics::gauge!("jayreach_uptime_seconds").set(self.started.elapsed().as_secs_f64());
+        let pools = [("callers", &self.pools.callers), ("work", &self.pools.work), ("control", &self.pools.control)];
+        for (name, pool) in pools {
+            metrics::gauge!("jayreach_pool_threads", "pool" => name).set(pool.threads() as f64);
+        }
+    }
+}
+
+/// A new incarnation: higher than earlier ones by the clock, and drawn so that two that start in
+/// the same second differ.
+fn incarnation() -> Incarnation {
+    const RANDOM_BITS: u32 = 20;
+    let random: u64 = rand::rng().random_range(0..1 << RANDOM_BITS);
+    unix_seconds() << RANDOM_BITS | random
+}
+
+fn metrics_recorder() -> Result<PrometheusHandle, Error> {
+    let matcher = Matcher::Full("jayreach_request_seconds".into());
+    let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &BUCKETS);
+    let installed = builder.and_then(PrometheusBuilder::install_recorder);
+    installed.map_err(|it| Error::io("installing the metrics", std::io::Error::other(it)))
+}
--- /dev/null
+++ b/src/daemon/spread.rs
@@ -0,0 +1,91 @@
+//! Pushes news to a few peers at once.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crossbeam::channel::Receiver;
+use rand::seq::IteratorRandom as _;
+
+use crate::{
+    daemon::{
+        Daemon,
+        client::Connection,
+        peers::{CONTROL_TIMEOUT, PeerCall},
+    },
+    rows::{Push, Row},
+    util::lock,
+    wire::encode,
+};
+
+/// To how many peers news is pushed; chosen by measurement (docs/CAPACITY.md, rows).
+pub const FANOUT: usize = 4;
+/// How long news is gathered before it is pushed.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Pushes news as it comes.
+pub(crate) fn run(daemon: &Arc<Daemon>, rx: &Receiver<Vec<Row>>) {
+    while let Ok(mut rows) = rx.recv() {
+        thread::sleep(GATHER);
+        rows.extend(rx.try_iter().flatten());
+        push(daemon, newest(rows));
+    }
+}
+
+/// Keeps the newest of each daemon's rows.
+fn newest(mut rows: Vec<Row>) -> Vec<Row> {
+    rows.sort_by(|a, b| (&a.daemon, b.stamp).cmp(&(&b.daemon, a.stamp)));
+    rows.dedup_by(|a, b| a.daemon == b.daemon);
+    rows
+}
+
+fn push(daemon: &Arc<Daemon>, rows: Vec<Row>) {
+    let peers: Vec<_> = {
+        let table = lock(&daemon.table);
+        table.live().map(|it| it.peers).sample(&mut rand::rng(), FANOUT)
+    };
+    let push = Push { rows, version: daemon.config.version(), sender: daemon.settings.peers };
+    let bytes = Arc::new(encode(&push));
+    for address in peers {
+        let cx = Arc::clone(daemon);
+        let bytes = Arc::clone(&bytes);
+        let job = Box::new(move || {
+            let sent = cx.peers.send(address, PeerCall::Push, bytes.to_vec(), 0, Connection::Fresh, CONTROL_TIMEOUT);
+            let name = if sent.is_ok() { "jayreach_pushes_total" } else { "jayreach_pushes_lost_total" };
+            metrics::counter!(name).increment(1);
+        });
+        if daemon.pools.control.run(job, 0.75).is_err() {
+            metrics::counter!("jayreach_pushes_lost_total").increment(1);
+        }
+    }
+}
+
+impl Daemon {
+    /// Takes rows in, brings the view up to date and passes the news on.
+    pub(crate) fn take_rows(&self, rows: Vec<Row>) {
+        let mut table = lock(&self.table);
+        let news = table.merge_all(rows, Instant::now());
+        self.view_news(&news);
+        drop(table);
+        if !news.is_empty() {
+            self.tell_news(news);
+        }
+    }
+
+    /// Brings the view up to date; called under the table's lock.
+    pub(crate) fn view_news(&self, news: &[Row]) {
+        for row in news {
+            self.take_in(row);
+        }
+    }
+
+    /// Takes a push in.
+    pub(crate) fn pushed(self: &Arc<Self>, push: Push) {
+        if push.version > self.config.version() {
+            self.fetch_from_peer(push.sender);
+        }
+        self.take_rows(push.rows);
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,17 @@
+//! Decisions: pure code, with time and randomness passed in.
+
+mod admission;
+mod budget;
+mod choice;
+mod detector;
+mod floor;
+mod path;
+mod standing;
+
+pub use admission::{Admission, Arrival, Gate, Release, WaiterId};
+pub use budget::RetryBudget;
+pub use choice::{Candidate, Choice, choose};
+pub use detector::{Detector, Evidence, Sample, baseline, failure_level, level_rate};
+pub use floor::{Standing as FloorStanding, eligible};
+pub use path::PathHealth;
+pub use standing::{Event, Standing, Tuning};
--- /dev/null
+++ b/src/decide/standing.rs
@@ -0,0 +1,167 @@
+//! An endpoint's standing at its guard: the chart, the evidence, hold-down and trial.
+
+use std::{
+    sync::LazyLock,
+    time::{Duration, Instant},
+};
+
+use serde::Deserialize;
+
+use crate::{
+    chart::Chart,
+    decide::detector::{Detector, Evidence, Sample},
+    rows::EndpointState,
+    targets::Weighs,
+};
+
+static CHART: LazyLock<Chart<EndpointState, Event>> =
+    LazyLock::new(|| Chart::embedded(include_str!("../../charts/endpoint.toml")));
+
+/// What happens to an endpoint (charts/endpoint.toml).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Event {
+    /// It says it is not ready.
+    AnnouncedStarting,
+    /// It says it takes work.
+    AnnouncedServing,
+    /// It says it is leaving.
+    AnnouncedLeaving,
+    /// It said nothing for too long.
+    Silent,
+    /// The evidence is gone.
+    EvidenceClear,
+    /// The evidence grows.
+    EvidenceDoubtful,
+    /// The evidence is complete.
+    EvidenceBad,
+    /// It was ejected for long enough.
+    HoldDownOver,
+    /// The trial went well.
+    TrialPassed,
+    /// The trial failed.
+    TrialFailed,
+}
+
+/// The lengths of time and counts of the return to service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tuning {
+    /// How long the first ejection lasts.
+    pub hold_down: Duration,
+    /// How long an ejection lasts at most.
+    pub hold_down_limit: Duration,
+    /// How long an endpoint must serve for its hold-down to start small again.
+    pub good_conduct: Duration,
+    /// How many good answers in a row end a trial.
+    pub trial_length: u32,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            hold_down: Duration::from_secs(5),
+            hold_down_limit: Duration::from_secs(300),
+            good_conduct: Duration::from_secs(600),
+            trial_length: 5,
+        }
+    }
+}
+
+/// The standing of one endpoint.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    tuning: Tuning,
+    state: EndpointState,
+    detector: Detector,
+    /// When the state was entered.
+    since: Instant,
+    /// Ejections in a row without good conduct between them; each doubles the hold-down.
+    ejections: u32,
+    /// Good answers of the running trial.
+    passed: u32,
+}
+
+impl Standing {
+    /// The standing of an endpoint that has just announced itself.
+    pub fn new(tuning: Tuning, now: Instant) -> Self {
+        let state = CHART.initial;
+        Self { tuning, state, detector: Detector::default(), since: now, ejections: 0, passed: 0 }
+    }
+
+    /// The state.
+    pub fn state(&self) -> EndpointState {
+        self.state
+    }
+
+    /// The running failure rate, 0 to 1.
+    pub fn rate(&self) -> f64 {
+        self.detector.rate()
+    }
+
+    /// Whether work may be admitted; `idempotent` work may try an endpoint out.
+    pub fn admits(&self, idempotent: bool) -> bool {
+        match self.state {
+            EndpointState::Serving | EndpointState::Suspect | EndpointState::Ejected => true,
+            EndpointState::Trial => idempotent,
+            EndpointState::Starting | EndpointState::Leaving | EndpointState::Gone => false,
+        }
+    }
+
+    /// Takes an event; returns whether the state changed.
+    pub fn on(&mut self, event: Event, now: Instant) -> bool {
+        let Some(next) = CHART.next(self.state, event) else { return false };
+        match next {
+            EndpointState::Ejected => self.enter_ejected(now),
+            EndpointState::Trial => self.passed = 0,
+            EndpointState::Serving | EndpointState::Starting => self.detector.reset(),
+            EndpointState::Suspect | EndpointState::Leaving | EndpointState::Gone => (),
+        }
+        self.state = next;
+        self.since = now;
+        true
+    }
+
+    fn enter_ejected(&mut self, now: Instant) {
+        let served = now.saturating_duration_since(self.since);
+        if self.state != EndpointState::Trial && served >= self.tuning.good_conduct {
+            self.ejections = 0;
+        }
+        self.ejections += 1;
+    }
+
+    /// Takes a sample in; returns whether the state changed.
+    pub fn sample(&mut self, sample: Sample, baseline: f64, weighs: Weighs, now: Instant) -> bool {
+        let evidence = self.detector.record(sample, baseline, weighs);
+        match self.state {
+            EndpointState::Serving | EndpointState::Suspect => match evidence {
+                Evidence::Clear => self.on(Event::EvidenceClear, now),
+                Evidence::Doubtful => self.on(Event::EvidenceDoubtful, now),
+                Evidence::Bad => self.on(Event::EvidenceBad, now),
+            },
+            EndpointState::Trial => self.try_out(sample, now),
+            EndpointState::Starting | EndpointState::Ejected | EndpointState::Leaving | EndpointState::Gone => false,
+        }
+    }
+
+    fn try_out(&mut self, sample: Sample, now: Instant) -> bool {
+        match sample {
+            Sample::Bad => self.on(Event::TrialFailed, now),
+            Sample::Good => {
+                self.passed += 1;
+                self.passed >= self.tuning.trial_length && self.on(Event::TrialPassed, now)
+            }
+        }
+    }
+
+    /// Lets time pass; returns whether the state changed.
+    pub fn tick(&mut self, now: Instant) -> bool {
+        let over = now.saturating_duration_since(self.since) >= self.hold_down();
+        self.state == EndpointState::Ejected && over && self.on(Event::HoldDownOver, now)
+    }
+
+    /// How long this ejection lasts: doubled for each one before it.
+    pub fn hold_down(&self) -> Duration {
+        let doublings = self.ejections.saturating_sub(1).min(16);
+        self.tuning.hold_down.saturating_mul(1 << doublings).min(self.tuning.hold_down_limit)
+    }
+}
--- /dev/null
+++ b/src/document.rs
@@ -0,0 +1,237 @@
+//! Reads TOML with the place of every key, so that all findings of a file come at once.
+
+use std::{cell::RefCell, ops::Range, time::Duration};
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use crate::error::{Findings, Place};
+
+/// A file's text and the findings collected so far.
+pub struct Document<'a> {
+    file: &'a str,
+    text: &'a str,
+    findings: RefCell<Findings>,
+}
+
+impl<'a> Document<'a> {
+    /// A document of `text`, named `file` in findings.
+    pub fn new(file: &'a str, text: &'a str) -> Self {
+        Self { file, text, findings: RefCell::new(Findings::default()) }
+    }
+
+    /// Parses the text; syntax errors become findings.
+    pub fn parse(&self) -> Spanned<DeTable<'a>> {
+        let (table, errors) = DeTable::parse_recoverable(self.text);
+        for error in errors {
+            let offset = error.span().map_or(0, |it| it.start);
+            self.find(offset, error.message());
+        }
+        table
+    }
+
+    /// Records a finding at byte `offset`.
+    pub fn find(&self, offset: usize, message: impl Into<Box<str>>) {
+        let place = Place::at(self.file, self.text, offset);
+        self.findings.borrow_mut().push(place, message);
+    }
+
+    /// Ends the reading: the findings in the order of their places.
+    pub fn close(self) -> Findings {
+        self.findings.into_inner().sorted()
+    }
+}
+
+/// One table of a document, read key by key; `close` reports the keys nobody asked for.
+pub struct Section<'a> {
+    doc: &'a Document<'a>,
+    name: Box<str>,
+    start: usize,
+    table: &'a DeTable<'a>,
+    asked: Vec<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// A section over `table`, which begins at byte `start` and is called `name` in findings.
+    pub fn new(doc: &'a Document<'a>, name: &str, start: usize, table: &'a DeTable<'a>) -> Self {
+        Self { doc, name: name.into(), start, table, asked: Vec::new() }
+    }
+
+    /// Where the section begins, in bytes.
+    pub fn start(&self) -> usize {
+        self.start
+    }
+
+    /// Where the value of `key` begins, or the section if it has none.
+    pub fn offset(&self, key: &str) -> usize {
+        self.table.get(key).map_or(self.start, |it| it.span().start)
+    }
+
+    fn value(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.asked.push(key);
+        self.table.get(key)
+    }
+
+    /// A text value, if the key is there.
+    pub fn text(&mut self, key: &'static str) -> Option<Box<str>> {
+        let value = self.value(key)?;
+        match value.get_ref() {
+            DeValue::String(it) => Some(it.as_ref().into()),
+            _ => self.wrong_type(key, value.span(), "a string"),
+        }
+    }
+
+    /// A text value that must be there.
+    pub fn required_text(&mut self, key: &'static str) -> Option<Box<str>> {
+        self.require(key);
+        self.text(key)
+    }
+
+    /// A whole number from `range`, if the key is there.
+    pub fn number(&mut self, key: &'static str, range: Range<u64>) -> Option<u64> {
+        let value = self.value(key)?;
+        let DeValue::Integer(it) = value.get_ref() else {
+            return self.wrong_type(key, value.span(), "a whole number");
+        };
+        let number = u64::from_str_radix(it.as_str(), it.radix()).ok().filter(|n| range.contains(n));
+        if number.is_none() {
+            let message = format!("`{key}` must be from {} to {}", range.start, range.end - 1);
+            self.doc.find(value.span().start, message);
+        }
+        number
+    }
+
+    /// A number from `range` that must be there.
+    pub fn required_number(&mut self, key: &'static str, range: Range<u64>) -> Option<u64> {
+        self.require(key);
+        self.number(key, range)
+    }
+
+    /// True or false, if the key is there.
+    pub fn flag(&mut self, key: &'static str) -> Option<bool> {
+        let value = self.value(key)?;
+        match value.get_ref() {
+            DeValue::Boolean(it) => Some(*it),
+            _ => self.wrong_type(key, value.span(), "true or false"),
+        }
+    }
+
+    /// A length of time such as "250ms", "2s" or "5m", if the key is there.
+    pub fn duration(&mut self, key: &'static str) -> Option<Duration> {
+        let text = self.text(key)?;
+        let parsed = parse_duration(&text);
+        if parsed.is_none() {
+            let message = format!("`{key}` must be a length of time such as \"250ms\", \"2s\" or \"5m\"");
+            self.doc.find(self.offset(key), message);
+        }
+        parsed
+    }
+
+    /// A list of texts; empty if the key is not there.
+    pub fn texts(&mut self, key: &'static str) -> Vec<Box<str>> {
+        let Some(value) = self.value(key) else { return Vec::new() };
+        let DeValue::Array(array) = value.get_ref() else {
+            self.wrong_type::<()>(key, value.span(), "a list of strings");
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for item in array.iter() {
+            match item.get_ref() {
+                DeValue::String(it) => texts.push(it.as_ref().into()),
+                _ => self.doc.find(item.span().start, format!("`{key}` must hold strings only")),
+            }
+        }
+        texts
+    }
+
+    /// The tables of `[[key]]`; none if the key is not there.
+    pub fn tables(&mut self, key: &'static str) -> Vec<Self> {
+        let Some(value) = self.value(key) else { return Vec::new() };
+        let DeValue::Array(array) = value.get_ref() else {
+            self.wrong_type::<()>(key, value.span(), &format!("a list of tables, written [[{key}]]"));
+            return Vec::new();
+        };
+        let mut sections = Vec::new();
+        for item in array.iter() {
+            match item.get_ref() {
+                DeValue::Table(it) => sections.push(Self::new(self.doc, key, item.span().start, it)),
+                _ => self.doc.find(item.span().start, format!("`{key}` must hold tables only")),
+            }
+        }
+        sections
+    }
+
+    /// The named tables of `[key.NAME]`; none if the key is not there.
+    pub fn named_tables(&mut self, key: &'static str) -> Vec<(Box<str>, Self)> {
+        let Some(value) = self.value(key) else { return Vec::new() };
+        let DeValue::Table(table) = value.get_ref() else {
+            self.wrong_type::<()>(key, value.span(), &format!("tables, written [{key}.NAME]"));
+            return Vec::new();
+        };
+        let mut sections = Vec::new();
+        for (name, item) in table.iter() {
+            let start = name.span().start;
+            match item.get_ref() {
+                DeValue::Table(it) => {
+                    let title = format!("{key}.{}", name.get_ref());
+                    sections.push((name.get_ref().as_ref().into(), Self::new(self.doc, &title, start, it)));
+                }
+                _ => self.doc.find(start, format!("`{key}.{}` must be a table", name.get_ref())),
+            }
+        }
+        sections
+    }
+
+    /// Records a finding at the value of `key`.
+    pub fn find(&self, key: &str, message: impl Into<Box<str>>) {
+        self.doc.find(self.offset(key), message);
+    }
+
+    /// Reports every key that was not asked for; `reason` may explain why a key is refused.
+    pub fn close(self, reason: fn(&str) -> Option<&'static str>) {
+        for key in self.table.keys() {
+            let name: &str = key.get_ref().as_ref();
+            if self.asked.contains(&name) {
+                continue;
+            }
+            let message = match reason(name) {
+                Some(reason) => format!("`{name}` is refused: {reason}"),
+                None => format!("unknown key `{name}` in {}; known: {}", self.name, self.asked.join(", ")),
+            };
+            self.doc.find(key.span().start, message);
+        }
+    }
+
+    fn require(&self, key: &'static str) {
+        if self.table.get(key).is_none() {
+            self.doc.find(self.start, format!("{} lacks `{key}`", self.name));
+        }
+    }
+
+    fn wrong_type<T>(&self, key: &str, span: Range<usize>, wanted: &str) -> Option<T> {
+        self.doc.find(span.start, format!("`{key}` must be {wanted}"));
+        None
+    }
+}
+
+/// Parses "250ms", "2s", "5m" or "1h"; zero is refused.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    let digits = text.find(|c: char| !c.is_ascii_digit())?;
+    let count: u64 = text[..digits].parse().ok()?;
+    let millis = match &text[digits..] {
+        "ms" => count,
+        "s" => count.checked_mul(1_000)?,
+        "m" => count.checked_mul(60_000)?,
+        "h" => count.checked_mul(3_600_000)?,
+        _ => return None,
+    };
+    (millis > 0).then(|| Duration::from_millis(millis))
+}
+
+/// Writes a length of time so that `parse_duration` reads it back.
+pub fn format_duration(duration: Duration) -> Box<str> {
+    let millis = duration.as_millis();
+    if millis.is_multiple_of(1_000) { format!("{}s", millis / 1_000).into() } else { format!("{millis}ms").into() }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,18 @@
+//! A proxy fleet for back ends with gray failures.
+//!
+//! Pure decisions are in [`decide`], [`ticket`] and [`rows`]; threads and sockets in [`daemon`].
+
+pub mod chart;
+pub mod cmd;
+pub mod daemon;
+pub mod decide;
+pub mod document;
+pub mod error;
+pub mod logs;
+pub mod platform;
+pub mod rows;
+pub mod settings;
+pub mod targets;
+pub mod ticket;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The `jayreach` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jayreach::cmd::main()
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,126 @@
+//! The platform's store over HTTP.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use attohttpc::{Method, Response};
+
+use crate::platform::{Expect, Object, ObjectVersion, Platform, PlatformError};
+
+/// How long a call may take, beside the time a watch asks to wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of the store; each call opens its own connection, so a silent one harms no other call.
+pub struct StoreClient {
+    base: Box<str>,
+}
+
+impl StoreClient {
+    /// A client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { base: format!("http://{address}").into() }
+    }
+
+    fn call(
+        &self,
+        method: Method,
+        target: &str,
+        condition: Option<(&'static str, String)>,
+        body: &[u8],
+        wait: Duration,
+    ) -> Result<Response, PlatformError> {
+        let url = format!("{}{target}", self.base);
+        let mut req = attohttpc::RequestBuilder::new(method, url)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(CALL_TIMEOUT + wait)
+            .timeout(CALL_TIMEOUT + wait)
+            .follow_redirects(false);
+        if let Some((name, value)) = condition {
+            req = req.header(name, value);
+        }
+        req.bytes(body).send().map_err(failed)
+    }
+}
+
+impl Platform for StoreClient {
+    fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let resp = self.call(Method::GET, &format!("/objects/{key}"), None, &[], Duration::ZERO)?;
+        match resp.status().as_u16() {
+            404 => Ok(None),
+            _ => object(resp).map(Some),
+        }
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Box<str>>, PlatformError> {
+        let resp = self.call(Method::GET, &format!("/objects?prefix={prefix}"), None, &[], Duration::ZERO)?;
+        let bytes = body(resp)?;
+        serde_json::from_slice(&bytes).map_err(|it| PlatformError::NoAnswer(it.to_string().into()))
+    }
+
+    fn put(&self, key: &str, value: &[u8], expect: Expect) -> Result<ObjectVersion, PlatformError> {
+        let condition = match expect {
+            Expect::Absent => Some(("If-None-Match", "*".to_owned())),
+            Expect::Version(it) => Some(("If-Match", format!("\"{it}\""))),
+            Expect::Anything => None,
+        };
+        let resp = self.call(Method::PUT, &format!("/objects/{key}"), condition, value, Duration::ZERO)?;
+        match resp.status().as_u16() {
+            200 | 201 => version(&resp),
+            412 => Err(PlatformError::Conflict),
+            it => Err(PlatformError::NoAnswer(format!("status {it}").into())),
+        }
+    }
+
+    fn remove(&self, key: &str) -> Result<(), PlatformError> {
+        let resp = self.call(Method::DELETE, &format!("/objects/{key}"), None, &[], Duration::ZERO)?;
+        match resp.status().as_u16() {
+            200 | 204 | 404 => Ok(()),
+            it => Err(PlatformError::NoAnswer(format!("status {it}").into())),
+        }
+    }
+
+    fn watch(&self, key: &str, after: ObjectVersion, wait: Duration) -> Result<Option<Object>, PlatformError> {
+        let target = format!("/objects/{key}?after={after}&wait_ms={}", wait.as_millis());
+        let resp = self.call(Method::GET, &target, None, &[], wait)?;
+        match resp.status().as_u16() {
+            304 | 404 => Ok(None),
+            _ => object(resp).map(Some),
+        }
+    }
+}
+
+fn object(resp: Response) -> Result<Object, PlatformError> {
+    let version = version(&resp)?;
+    let value = body(resp)?;
+    Ok(Object { version, value })
+}
+
+fn version(resp: &Response) -> Result<ObjectVersion, PlatformError> {
+    let tag = resp.headers().get("ETag").and_then(|it| it.to_str().ok());
+    tag.and_then(|it| it.trim_matches('"').parse().ok())
+        .ok_or_else(|| PlatformError::NoAnswer(format!("status {} without a version", resp.status()).into()))
+}
+
+/// The whole body; one that is shorter than its stated length is an error.
+fn body(resp: Response) -> Result<Vec<u8>, PlatformError> {
+    if !resp.is_success() {
+        return Err(PlatformError::NoAnswer(format!("status {}", resp.status()).into()));
+    }
+    let length: Option<usize> = resp.headers().get("Content-Length").and_then(|it| it.to_str().ok()?.parse().ok());
+    let bytes = resp.bytes().map_err(failed)?;
+    match length {
+        Some(length) if bytes.len() != length => Err(PlatformError::NoAnswer("the body was cut short".into())),
+        _ => Ok(bytes),
+    }
+}
+
+/// Only a refused connection proves that the store never saw the call.
+fn failed(error: attohttpc::Error) -> PlatformError {
+    match error.kind() {
+        attohttpc::ErrorKind::Io(it) if it.kind() == io::ErrorKind::ConnectionRefused => {
+            PlatformError::Unreachable(error.to_string().into())
+        }
+        _ => PlatformError::NoAnswer(error.to_string().into()),
+    }
+}
--- /dev/null
+++ b/src/rows/table.rs
@@ -0,0 +1,232 @@
+//! The rows one daemon knows, with a digest by buckets.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    rows::row::{Row, Stamp},
+    util::stable_hash,
+};
+
+/// Into how many buckets the digest is cut; chosen by measurement (docs/CAPACITY.md, rows).
+pub const BUCKETS: usize = 256;
+/// How long the row of a daemon that left is kept, so that a late copy does not bring it back.
+const FORGET_LEFT: Duration = Duration::from_secs(600);
+/// How long the row of a daemon that is down is kept and its address tried.
+const FORGET_DOWN: Duration = Duration::from_secs(6 * 3600);
+
+/// A short name of a daemon in digests.
+pub type DaemonKey = u64;
+
+/// The short name of a daemon.
+pub fn daemon_key(daemon: &str) -> DaemonKey {
+    stable_hash(&[daemon.as_bytes()])
+}
+
+/// A row and when it was last replaced.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    key: DaemonKey,
+    /// The row.
+    pub row: Arc<Row>,
+    /// When this daemon took the row in.
+    pub since: Instant,
+}
+
+/// What became of a row that was offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merge {
+    /// It was newer and was taken in.
+    News,
+    /// It was known, or older.
+    Old,
+    /// It speaks of this daemon itself and claims what only the owner may.
+    Contradicts,
+}
+
+/// All rows one daemon knows.
+pub struct Table {
+    own: DaemonKey,
+    /// Sorted by key, one entry a daemon.
+    entries: Vec<Entry>,
+    /// Each is the sum of the hashes of its rows' stamps.
+    buckets: Vec<u32>,
+}
+
+impl Table {
+    /// A table that holds the owner's row only.
+    pub fn new(own: Row, now: Instant) -> Self {
+        let key = daemon_key(&own.daemon);
+        let mut table = Self { own: key, entries: Vec::new(), buckets: vec![0; BUCKETS] };
+        table.store(key, Arc::new(own), now);
+        table
+    }
+
+    /// The owner's row.
+    pub fn own(&self) -> &Arc<Row> {
+        let at = self.find(self.own).expect("the owner's row is always there");
+        &self.entries[at].row
+    }
+
+    /// Replaces the owner's row after `edit`, with the next sequence.
+    pub fn edit_own(&mut self, now: Instant, edit: impl FnOnce(&mut Row)) {
+        let mut row = Row::clone(self.own());
+        edit(&mut row);
+        row.stamp.sequence += 1;
+        row.stamp.down = false;
+        self.store(self.own, Arc::new(row), now);
+    }
+
+    /// Takes a row in if it is newer than what is known.
+    ///
+    /// An unknown row that is down is not taken in: it would come back for ever, since each
+    /// daemon forgets it at another time.
+    pub fn merge(&mut self, row: Row, now: Instant) -> Merge {
+        let key = daemon_key(&row.daemon);
+        let known = self.find(key).map(|at| &self.entries[at].row);
+        if known.is_none() && row.stamp.down {
+            return Merge::Old;
+        }
+        if known.is_some_and(|it| it.stamp >= row.stamp) {
+            return Merge::Old;
+        }
+        if key == self.own {
+            self.refute(row.stamp, now);
+            return Merge::Contradicts;
+        }
+        self.store(key, Arc::new(row), now);
+        Merge::News
+    }
+
+    /// Answers a claim about the owner with a higher sequence. A higher incarnation is another
+    /// process with this name; it cannot be refuted by this one.
+    fn refute(&mut self, claim: Stamp, now: Instant) {
+        if claim.incarnation == self.own().stamp.incarnation {
+            self.edit_own(now, |it| it.stamp.sequence = claim.sequence);
+        }
+    }
+
+    /// Marks a daemon as down, as of the stamp that was probed.
+    pub fn mark_down(&mut self, daemon: &str, probed: Stamp, now: Instant) -> bool {
+        let key = daemon_key(daemon);
+        let Some(at) = self.find(key) else { return false };
+        if key == self.own || self.entries[at].row.stamp != probed || probed.down {
+            return false;
+        }
+        let mut row = Row::clone(&self.entries[at].row);
+        row.stamp.down = true;
+        self.store(key, Arc::new(row), now);
+        true
+    }
+
+    /// Drops rows of daemons that left or are down for long.
+    pub fn forget(&mut self, now: Instant) {
+        let own = self.own;
+        let kept = |it: &Entry| {
+            let limit = match (it.row.leaving, it.row.stamp.down) {
+                (true, _) => FORGET_LEFT,
+                (false, true) => FORGET_DOWN,
+                (false, false) => return true,
+            };
+            it.key == own || now.saturating_duration_since(it.since) < limit
+        };
+        let mut dropped = Vec::new();
+        self.entries.retain(|it| {
+            let keep = kept(it);
+            if !keep {
+                dropped.push((it.key, it.row.stamp));
+            }
+            keep
+        });
+        for (key, stamp) in dropped {
+            self.toggle(key, stamp, false);
+        }
+    }
+
+    /// All entries, sorted by key.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// The row of a daemon.
+    pub fn get(&self, daemon: &str) -> Option<&Arc<Row>> {
+        self.by_key(daemon_key(daemon))
+    }
+
+    /// The row with this short name.
+    pub fn by_key(&self, key: DaemonKey) -> Option<&Arc<Row>> {
+        self.find(key).map(|at| &self.entries[at].row)
+    }
+
+    /// The digest by buckets.
+    pub fn buckets(&self) -> &[u32] {
+        &self.buckets
+    }
+
+    /// The short names and stamps in one bucket.
+    pub fn bucket(&self, bucket: usize) -> Vec<(DaemonKey, Stamp)> {
+        let (start, end) = bucket_range(bucket);
+        let from = self.entries.partition_point(|it| it.key < start);
+        let rows = self.entries[from..].iter().take_while(|it| it.key <= end);
+        rows.map(|it| (it.key, it.row.stamp)).collect()
+    }
+
+    /// The daemons that can be asked: neither down nor this one.
+    pub fn live(&self) -> impl Iterator<Item = &Arc<Row>> {
+        let own = self.own;
+        self.entries.iter().filter(move |it| it.key != own && !it.row.stamp.down).map(|it| &it.row)
+    }
+
+    /// The daemons that are held to be down and still tried now and then.
+    pub fn down(&self) -> impl Iterator<Item = &Arc<Row>> {
+        self.entries.iter().filter(|it| it.row.stamp.down && !it.row.leaving).map(|it| &it.row)
+    }
+
+    fn find(&self, key: DaemonKey) -> Option<usize> {
+        self.entries.binary_search_by_key(&key, |it| it.key).ok()
+    }
+
+    fn store(&mut self, key: DaemonKey, row: Arc<Row>, now: Instant) {
+        let stamp = row.stamp;
+        let entry = Entry { key, row, since: now };
+        match self.entries.binary_search_by_key(&key, |it| it.key) {
+            Ok(at) => {
+                let old = self.entries[at].row.stamp;
+                assert!(old <= stamp, "a row never goes back");
+                self.toggle(key, old, false);
+                self.entries[at] = entry;
+            }
+            Err(at) => self.entries.insert(at, entry),
+        }
+        self.toggle(key, stamp, true);
+    }
+
+    /// Adds a stamp to its bucket's sum, or takes it out.
+    fn toggle(&mut self, key: DaemonKey, stamp: Stamp, add: bool) {
+        let hash = stamp_hash(key, stamp);
+        let bucket = &mut self.buckets[bucket_of(key)];
+        *bucket = if add { bucket.wrapping_add(hash) } else { bucket.wrapping_sub(hash) };
+    }
+}
+
+fn bucket_of(key: DaemonKey) -> usize {
+    (key >> (u64::BITS - BUCKETS.trailing_zeros())) as usize
+}
+
+fn bucket_range(bucket: usize) -> (DaemonKey, DaemonKey) {
+    let width = u64::MAX / BUCKETS as u64 + 1;
+    let start = bucket as u64 * width;
+    (start, start + (width - 1))
+}
+
+fn stamp_hash(key: DaemonKey, stamp: Stamp) -> u32 {
+    let words = [key, stamp.incarnation, stamp.sequence, u64::from(stamp.down)];
+    let mut hash = 0x9e37_79b9_7f4a_7c15_u64;
+    for word in words {
+        hash = (hash ^ word).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        hash ^= hash >> 32;
+    }
+    hash as u32
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,148 @@
+//! The settings of one daemon, read from its TOML file.
+
+use std::{fs, net::SocketAddr, path::Path};
+
+use crate::{
+    document::{Document, Section},
+    error::{Error, Findings},
+    rows::DaemonId,
+};
+
+/// The longest name a daemon or data centre may have; names stand in every ticket and row.
+const NAME_LIMIT: usize = 40;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What a daemon must be told; nothing else can be set (brief, "Where it will run").
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The daemon's name, unique in the fleet, in letters, digits and dashes.
+    pub name: DaemonId,
+    /// The data centre the VM stands in.
+    pub data_centre: Box<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other daemons connect; others must be able to reach this very address.
+    pub peers: SocketAddr,
+    /// Where the VM's endpoints and operators connect.
+    pub local: SocketAddr,
+    /// The platform's store.
+    pub platform: SocketAddr,
+    /// Daemons to join through when the store is away.
+    pub contacts: Vec<SocketAddr>,
+    /// The key every call between daemons carries.
+    pub peer_key: Box<str>,
+    /// The least severe level that is logged.
+    pub log_level: log::LevelFilter,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+}
+
+impl Settings {
+    /// Reads the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|it| Error::io(name.clone(), it))?;
+        Self::parse(&name, &text).map_err(Error::Findings)
+    }
+
+    /// Parses `text`; all findings are returned together.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let doc = Document::new(file, text);
+        let table = doc.parse();
+        let mut section = Section::new(&doc, "the settings", 0, table.get_ref());
+        let settings = read(&mut section);
+        section.close(|_| None);
+        let findings = doc.close();
+        match settings {
+            Some(it) if findings.is_empty() => Ok(it),
+            _ => Err(findings),
+        }
+    }
+}
+
+fn read(section: &mut Section<'_>) -> Option<Settings> {
+    let name = name(section, "name");
+    let data_centre = self::name(section, "data_centre");
+    let callers = address(section, "callers");
+    let peers = address(section, "peers");
+    let local = address(section, "local");
+    let platform = address(section, "platform");
+    let contacts = contacts(section);
+    let peer_key = section.required_text("peer_key");
+    if peer_key.as_ref().is_some_and(|it| it.len() < 16) {
+        section.find("peer_key", "`peer_key` must have 16 characters or more");
+    }
+    let log_level = log_level(section);
+    let log_format = log_format(section);
+    Some(Settings {
+        name: name?,
+        data_centre: data_centre?,
+        callers: callers?,
+        peers: peers?,
+        local: local?,
+        platform: platform?,
+        contacts,
+        peer_key: peer_key?,
+        log_level,
+        log_format,
+    })
+}
+
+fn name(section: &mut Section<'_>, key: &'static str) -> Option<Box<str>> {
+    let name = section.required_text(key)?;
+    let fits = !name.is_empty() && name.len() <= NAME_LIMIT;
+    if fits && name.chars().all(|it| it.is_ascii_alphanumeric() || it == '-') {
+        return Some(name);
+    }
+    section.find(key, format!("`{key}` must have 1 to {NAME_LIMIT} letters, digits or dashes"));
+    None
+}
+
+fn address(section: &mut Section<'_>, key: &'static str) -> Option<SocketAddr> {
+    let text = section.required_text(key)?;
+    let address = text.parse().ok();
+    if address.is_none() {
+        section.find(key, format!("`{key}` must be an IP number and port such as \"10.0.0.7:7101\""));
+    }
+    address
+}
+
+fn contacts(section: &mut Section<'_>) -> Vec<SocketAddr> {
+    let texts = section.texts("contacts");
+    let mut contacts = Vec::new();
+    for text in texts {
+        match text.parse() {
+            Ok(it) => contacts.push(it),
+            Err(_) => section.find("contacts", format!("`{text}` is not an IP number and port")),
+        }
+    }
+    contacts
+}
+
+fn log_level(section: &mut Section<'_>) -> log::LevelFilter {
+    let Some(text) = section.text("log_level") else { return log::LevelFilter::Info };
+    text.parse().unwrap_or_else(|_| {
+        section.find("log_level", "`log_level` must be off, error, warn, info, debug or trace");
+        log::LevelFilter::Info
+    })
+}
+
+fn log_format(section: &mut Section<'_>) -> LogFormat {
+    match section.text("log_format").as_deref() {
+        None | Some("text") => LogFormat::Text,
+        Some("json") => LogFormat::Json,
+        Some(_) => {
+            section.find("log_format", "`log_format` must be text or json");
+            LogFormat::Text
+        }
+    }
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,38 @@
+//! Small helpers that several modules share.
+
+use std::{
+    fmt::Write as _,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Bytes as lower-case hexadecimal digits.
+pub fn hex(bytes: &[u8]) -> String {
+    let mut out = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        _ = write!(out, "{byte:02x}");
+    }
+    out
+}
+
+/// Locks `mutex`; a panic of another holder is that thread's own matter.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Seconds since 1970 by this machine's clock; for people only, never for decisions.
+pub fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_secs())
+}
+
+/// A 64-bit hash that is the same on every machine and in every release.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    use sha2::{Digest as _, Sha256};
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    u64::from_le_bytes(digest[..8].try_into().expect("a SHA-256 has 32 bytes"))
+}
--- /dev/null
+++ b/standins/src/deployment.rs
@@ -0,0 +1,102 @@
+//! The two deployments of the brief, at their sizes of today.
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use crate::{
+    fleet::{EndpointShape, Fleet},
+    load::Kind,
+};
+
+/// A deployment: its data centres, services and mix of work.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Its name.
+    pub name: &'static str,
+    /// Its targets file, below the repository's root.
+    pub targets: &'static str,
+    /// How many data centres it has.
+    pub data_centres: usize,
+    /// Services and how many endpoints each has.
+    pub services: &'static [(&'static str, usize)],
+    /// What each endpoint is like.
+    pub shape: EndpointShape,
+    /// The mix of work.
+    pub mix: Vec<Kind>,
+}
+
+/// Prairie Public Access Network Authority.
+pub fn prairie() -> Deployment {
+    let kind = |class, path, ticketed, percent, secs| Kind {
+        class,
+        path,
+        ticketed,
+        percent,
+        lateness: Duration::from_secs(secs),
+    };
+    Deployment {
+        name: "Prairie",
+        targets: "samples/prairie.toml",
+        data_centres: 3,
+        services: &[("portal", 6), ("vouchers", 10), ("billing", 10)],
+        shape: EndpointShape { slots: 7, service_ms: 15, cold_start_ms: 300 },
+        mix: vec![
+            kind("charge", "/billing/charges", true, 20, 2),
+            kind("voucher", "/vouchers", true, 30, 2),
+            kind("lookup", "/portal", false, 50, 1),
+        ],
+    }
+}
+
+/// Pila Verde Recolección.
+pub fn pila_verde() -> Deployment {
+    let kind = |class, path, ticketed, percent, secs| Kind {
+        class,
+        path,
+        ticketed,
+        percent,
+        lateness: Duration::from_secs(secs),
+    };
+    Deployment {
+        name: "Pila Verde",
+        targets: "samples/pila-verde.toml",
+        data_centres: 4,
+        services: &[("directory", 8), ("intake", 8), ("ledger", 8)],
+        shape: EndpointShape { slots: 4, service_ms: 20, cold_start_ms: 300 },
+        mix: vec![
+            kind("drop-off", "/drop-offs", true, 20, 3),
+            kind("credit", "/credits", true, 20, 3),
+            kind("lookup", "/directory", false, 60, 5),
+        ],
+    }
+}
+
+impl Deployment {
+    /// Starts the deployment with `daemons` daemons, applies its targets, and waits until all is
+    /// seen everywhere.
+    pub fn start(&self, daemons: usize) -> io::Result<Fleet> {
+        let mut fleet = Fleet::start()?;
+        for at in 0..daemons {
+            fleet.add_daemon(&format!("dc-{}", at % self.data_centres + 1))?;
+        }
+        let mut count = 0;
+        for (service, endpoints) in self.services {
+            for _ in 0..*endpoints {
+                fleet.add_endpoint(service, count % daemons, self.shape)?;
+                count += 1;
+            }
+        }
+        fleet.apply(&repository_file(self.targets))?;
+        fleet.wait_for_endpoints(count)?;
+        Ok(fleet)
+    }
+}
+
+/// A file of the repository.
+pub fn repository_file(name: &str) -> PathBuf {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent();
+    root.expect("the stand-ins are a folder of the repository").join(name)
+}
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,308 @@
+//! Starts a small fleet of separate processes on loopback, and ends each by its id.
+
+use std::{
+    env, fs,
+    io::{self, Write as _},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The key between the daemons of a fleet.
+const PEER_KEY: &str = "a-key-for-stand-ins-only";
+/// The token of the samples' account.
+pub const TOKEN: &str = "demo-token";
+/// How long a process may take to end after a stop.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+static FLEETS: AtomicU32 = AtomicU32::new(1);
+
+/// A process of the fleet; it is killed when it goes out of scope.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        // A process that has ended needs no signal.
+        _ = kill_process(pid, signal);
+    }
+
+    /// Kills it without a warning.
+    pub fn kill(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+
+    /// Tells it to stop and waits for its end; true if it ended well in time.
+    pub fn stop(&mut self) -> bool {
+        self.signal(Signal::TERM);
+        let deadline = Instant::now() + STOP_LIMIT;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A daemon and its addresses.
+pub struct DaemonProcess {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+    /// Where endpoints and operators connect.
+    pub local: SocketAddr,
+    /// The process.
+    pub process: Process,
+    settings: PathBuf,
+}
+
+/// An endpoint and its address.
+pub struct EndpointProcess {
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its run log.
+    pub log: PathBuf,
+    /// The process.
+    pub process: Process,
+}
+
+/// What an endpoint of a fleet is like.
+#[derive(Debug, Clone, Copy)]
+pub struct EndpointShape {
+    /// How many requests it takes at once.
+    pub slots: u16,
+    /// How long a request takes on average, in milliseconds.
+    pub service_ms: u64,
+    /// How long its cold start takes, in milliseconds.
+    pub cold_start_ms: u64,
+}
+
+/// A store, daemons and endpoints.
+pub struct Fleet {
+    dir: PathBuf,
+    /// The store's address.
+    pub store: SocketAddr,
+    /// The store's process.
+    pub store_process: Process,
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointProcess>,
+}
+
+impl Fleet {
+    /// Starts a store and nothing else.
+    pub fn start() -> io::Result<Self> {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let dir = env::temp_dir().join(format!("jayreach-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let store = free_address()?;
+        let store_process = start_standin(&dir, "store", &["store", "--address", &store.to_string()])?;
+        wait_for(store)?;
+        Ok(Self { dir, store, store_process, daemons: Vec::new(), endpoints: Vec::new() })
+    }
+
+    /// Starts a daemon in a data centre.
+    pub fn add_daemon(&mut self, data_centre: &str) -> io::Result<usize> {
+        let name = format!("vm-{}", self.daemons.len() + 1);
+        let (callers, peers, local) = (free_address()?, free_address()?, free_address()?);
+        let settings = self.dir.join(format!("{name}.toml"));
+        let mut file = fs::File::create(&settings)?;
+        writeln!(file, "name = \"{name}\"\ndata_centre = \"{data_centre}\"")?;
+        writeln!(file, "callers = \"{callers}\"\npeers = \"{peers}\"\nlocal = \"{local}\"")?;
+        writeln!(file, "platform = \"{}\"\npeer_key = \"{PEER_KEY}\"", self.store)?;
+        if let Some(contact) = self.daemons.first() {
+            writeln!(file, "contacts = [\"{}\"]", contact.peers)?;
+        }
+        let process = start_daemon(&self.dir, &name, &settings)?;
+        wait_for(local)?;
+        self.daemons.push(DaemonProcess { name, callers, peers, local, process, settings });
+        Ok(self.daemons.len() - 1)
+    }
+
+    /// Starts a daemon that has ended again, with the same settings.
+    pub fn restart_daemon(&mut self, at: usize) -> io::Result<()> {
+        let it = &mut self.daemons[at];
+        it.process.kill();
+        it.process = start_daemon(&self.dir, &it.name, &it.settings)?;
+        wait_for(it.local)
+    }
+
+    /// Starts an endpoint beside the daemon at `daemon`.
+    pub fn add_endpoint(&mut self, service: &str, daemon: usize, shape: EndpointShape) -> io::Result<usize> {
+        let address = free_address()?;
+        let log = self.dir.join(format!("runs-{}.log", self.endpoints.len()));
+        let args = [
+            "endpoint".to_owned(),
+            format!("--service={service}"),
+            format!("--address={address}"),
+            format!("--daemon={}", self.daemons[daemon].local),
+            format!("--slots={}", shape.slots),
+            format!("--service-ms={}", shape.service_ms),
+            format!("--cold-start-ms={}", shape.cold_start_ms),
+            format!("--log={}", log.display()),
+        ];
+        let args: Vec<_> = args.iter().map(String::as_str).collect();
+        let process = start_standin(&self.dir, &format!("endpoint-{}", self.endpoints.len()), &args)?;
+        self.endpoints.push(EndpointProcess { service: service.into(), address, log, process });
+        Ok(self.endpoints.len() - 1)
+    }
+
+    /// Runs a `jayreach` command and returns its exit code and output.
+    pub fn command(&self, args: &[&str]) -> io::Result<(Option<i32>, String)> {
+        let output = Command::new(program("jayreach")?)
+            .args(args)
+            .env("JAYREACH_STORE", self.store.to_string())
+            .env("USER", "operator")
+            .output()?;
+        let text = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+        Ok((output.status.code(), text.into_owned()))
+    }
+
+    /// Applies a targets file and waits until it is in force everywhere.
+    pub fn apply(&self, file: &Path) -> io::Result<String> {
+        let daemon = self.daemons[0].local.to_string();
+        let file = file.display().to_string();
+        let args = ["apply", &file, "--why", "stand-in", "--wait", "--daemon", &daemon];
+        let (code, text) = self.command(&args)?;
+        if code == Some(0) { Ok(text) } else { Err(io::Error::other(text)) }
+    }
+
+    /// Waits until every daemon sees `count` endpoints that may be given work.
+    pub fn wait_for_endpoints(&self, count: usize) -> io::Result<()> {
+        let deadline = Instant::now() + Duration::from_secs(30);
+        loop {
+            let seen: Vec<_> = self.daemons.iter().map(|it| eligible(it.local).unwrap_or(0)).collect();
+            if seen.iter().all(|it| *it >= count) {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(io::Error::other(format!("endpoints seen by the daemons: {seen:?}, wanted {count}")));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Tells an endpoint, or the store, how to misbehave.
+    pub fn control<T: serde::Serialize>(&self, address: SocketAddr, fault: &T) -> io::Result<()> {
+        let body = serde_json::to_vec(fault)?;
+        let sent = ureq::post(format!("http://{address}/control")).send(&body[..]);
+        sent.map(|_| ()).map_err(io::Error::other)
+    }
+
+    /// The callers' addresses.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|it| it.callers).collect()
+    }
+
+    /// All operations in the run logs, sorted; one that ran twice stands twice.
+    pub fn runs(&self) -> io::Result<Vec<Box<str>>> {
+        let mut runs = Vec::new();
+        for it in &self.endpoints {
+            // An endpoint that never started has no log.
+            let text = fs::read_to_string(&it.log).unwrap_or_default();
+            runs.extend(text.lines().map(Box::<str>::from));
+        }
+        runs.sort();
+        Ok(runs)
+    }
+
+    /// Ends all processes and removes the files.
+    pub fn close(self) {
+        let dir = self.dir.clone();
+        drop(self);
+        _ = fs::remove_dir_all(dir);
+    }
+}
+
+/// How many endpoints a daemon may give work to.
+pub fn eligible(local: SocketAddr) -> io::Result<usize> {
+    let status = status(local)?;
+    let services = status["services"].as_array().map_or(&[][..], Vec::as_slice);
+    Ok(services.iter().filter_map(|it| it["eligible"].as_u64()).sum::<u64>() as usize)
+}
+
+/// A daemon's status.
+pub fn status(local: SocketAddr) -> io::Result<serde_json::Value> {
+    let mut resp = ureq::get(format!("http://{local}/status")).call().map_err(io::Error::other)?;
+    let text = resp.body_mut().read_to_string().map_err(io::Error::other)?;
+    Ok(serde_json::from_str(&text)?)
+}
+
+/// An address of loopback that was free a moment ago, outside the range of outgoing connections.
+pub fn free_address() -> io::Result<SocketAddr> {
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    for _ in 0..COUNT {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + number) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
+/// Waits until someone listens.
+fn wait_for(address: SocketAddr) -> io::Result<()> {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    loop {
+        match std::net::TcpStream::connect(address) {
+            Ok(_) => return Ok(()),
+            Err(error) if Instant::now() > deadline => return Err(error),
+            Err(_) => thread::sleep(Duration::from_millis(10)),
+        }
+    }
+}
+
+fn start_daemon(dir: &Path, name: &str, settings: &Path) -> io::Result<Process> {
+    let settings = settings.display().to_string();
+    start(dir, name, &program("jayreach")?, &["daemon", "--settings", &settings])
+}
+
+fn start_standin(dir: &Path, name: &str, args: &[&str]) -> io::Result<Process> {
+    start(dir, name, &program("standins")?, args)
+}
+
+fn start(dir: &Path, name: &str, program: &Path, args: &[&str]) -> io::Result<Process> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(dir.join(format!("{name}.err")))?;
+    let child = Command::new(program).args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+    Ok(Process { child })
+}
+
+/// A program of this build: beside the running one, or one folder up from a test.
+fn program(name: &str) -> io::Result<PathBuf> {
+    let own = env::current_exe()?;
+    let places = own.ancestors().skip(1).take(2).map(|it| it.join(name));
+    let mut found = places.into_iter().filter(|it| it.is_file());
+    found.next().ok_or_else(|| io::Error::other(format!("{name} is not built; run `cargo build --workspace`")))
+}
--- /dev/null
+++ b/standins/src/history.rs
@@ -0,0 +1,73 @@
+//! Checks what callers were told against what really ran.
+
+use std::fmt;
+
+use crate::load::{Kind, Record, Told};
+
+/// What the check found. All but `unknown` must be zero.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// Operations.
+    pub operations: usize,
+    /// Ticketed operations that ran more than once.
+    pub doubled: usize,
+    /// Told "not run", but it ran.
+    pub not_run_but_ran: usize,
+    /// Told "done", but it did not run.
+    pub done_but_not_run: usize,
+    /// Got the answer to another operation.
+    pub foreign: usize,
+    /// Ticketed operations whose outcome stayed unknown, lost connections included.
+    pub unknown: usize,
+    /// Of those, the ones that ran.
+    pub unknown_but_ran: usize,
+}
+
+impl Verdict {
+    /// Whether every caller learnt the truth and nothing was doubled.
+    pub fn holds(&self) -> bool {
+        self.doubled + self.not_run_but_ran + self.done_but_not_run + self.foreign == 0
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "operations {}, ran twice {}, told not-run but ran {}, told done but not run {}, another's answer {}, \
+             unknown {} (of which ran {})",
+            self.operations,
+            self.doubled,
+            self.not_run_but_ran,
+            self.done_but_not_run,
+            self.foreign,
+            self.unknown,
+            self.unknown_but_ran
+        )
+    }
+}
+
+/// Checks a history against the sorted runs of all endpoints.
+pub fn check(mix: &[Kind], history: &[Record], runs: &[Box<str>]) -> Verdict {
+    let mut verdict = Verdict { operations: history.len(), ..Verdict::default() };
+    for record in history {
+        let ran = count(runs, &record.operation);
+        let ticketed = mix[record.kind].ticketed;
+        verdict.doubled += usize::from(ticketed && ran > 1);
+        verdict.foreign += usize::from(record.foreign);
+        match record.told {
+            Told::NotRun => verdict.not_run_but_ran += usize::from(ran > 0),
+            Told::Done(_) => verdict.done_but_not_run += usize::from(ran == 0),
+            Told::Unknown | Told::Lost => {
+                verdict.unknown += usize::from(ticketed);
+                verdict.unknown_but_ran += usize::from(ticketed && ran > 0);
+            }
+        }
+    }
+    verdict
+}
+
+fn count(runs: &[Box<str>], operation: &str) -> usize {
+    let from = runs.partition_point(|it| **it < *operation);
+    runs[from..].iter().take_while(|it| ***it == *operation).count()
+}
--- /dev/null
+++ b/standins/tests/whole_path.rs
@@ -0,0 +1,151 @@
+//! The whole path through separate processes: store, daemons, endpoints, callers.
+
+use std::{fs, net::SocketAddr, path::Path, thread, time::Duration};
+
+use standins::{
+    deployment::{prairie, repository_file},
+    fleet::{EndpointShape, Fleet, TOKEN, status},
+    history,
+    load::{self, Load},
+};
+use ureq::{Agent, Body, http::Response};
+
+const SHAPE: EndpointShape = EndpointShape { slots: 4, service_ms: 5, cold_start_ms: 0 };
+
+fn small_fleet() -> Fleet {
+    let mut fleet = Fleet::start().expect("a store");
+    for data_centre in ["dc-1", "dc-2"] {
+        fleet.add_daemon(data_centre).expect("a daemon");
+    }
+    for (at, service) in ["portal", "vouchers", "billing", "billing"].into_iter().enumerate() {
+        fleet.add_endpoint(service, at % 2, SHAPE).expect("an endpoint");
+    }
+    fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+    fleet.wait_for_endpoints(4).expect("all endpoints are seen");
+    fleet
+}
+
+fn agent() -> Agent {
+    Agent::new_with_config(Agent::config_builder().http_status_as_error(false).build())
+}
+
+fn call(address: SocketAddr, path: &str, ticket: Option<&str>, token: &str, body: &str) -> Response<Body> {
+    let mut req = agent().post(format!("http://{address}{path}")).header("Authorization", format!("Bearer {token}"));
+    req = req.header("X-Operation", body);
+    if let Some(ticket) = ticket {
+        req = req.header("Jayreach-Ticket", ticket);
+    }
+    req.send(body).expect("an answer")
+}
+
+fn outcome(resp: &Response<Body>) -> (u16, &str) {
+    let header = resp.headers().get("Jayreach-Outcome").and_then(|it| it.to_str().ok());
+    (resp.status().as_u16(), header.unwrap_or("none"))
+}
+
+fn ticket(address: SocketAddr) -> String {
+    let resp = call(address, "/billing/charges", None, TOKEN, "no-ticket");
+    assert_eq!(outcome(&resp), (428, "not-run"));
+    resp.headers()["Jayreach-Ticket"].to_str().expect("a ticket").to_owned()
+}
+
+#[test]
+fn a_charge_a_voucher_and_a_lookup_reach_their_endpoints() {
+    let fleet = small_fleet();
+    let callers = fleet.callers();
+
+    let charge_ticket = ticket(callers[0]);
+    let charge = call(callers[0], "/billing/charges", Some(&charge_ticket), TOKEN, "charge-1");
+    let voucher = call(callers[1], "/vouchers/new?x=1", Some(&ticket(callers[0])), TOKEN, "voucher-1");
+    let mut lookup = call(callers[1], "/portal", None, "", "lookup-1");
+
+    assert_eq!(outcome(&charge), (200, "done"));
+    assert_eq!(outcome(&voucher), (200, "done"));
+    assert_eq!(outcome(&lookup), (200, "done"));
+    assert_eq!(lookup.body_mut().read_to_string().expect("a body"), "lookup-1");
+
+    let mut again = call(callers[1], "/billing/charges", Some(&charge_ticket), TOKEN, "charge-1");
+    let other = call(callers[1], "/billing/charges", Some(&charge_ticket), TOKEN, "charge-2");
+
+    assert_eq!(outcome(&again), (200, "done"));
+    assert_eq!(again.body_mut().read_to_string().expect("a body"), "charge-1");
+    assert_eq!(outcome(&other), (422, "not-run"));
+    let runs = fleet.runs().expect("the run logs");
+    assert_eq!(runs.iter().filter(|it| ***it == *"charge-1").count(), 1);
+    assert!(!runs.iter().any(|it| **it == *"charge-2"));
+    fleet.close();
+}
+
+#[test]
+fn refusals_say_that_nothing_ran() {
+    let fleet = small_fleet();
+    let caller = fleet.callers()[0];
+    let too_large = "x".repeat((1 << 20) + 1);
+
+    let no_route = call(caller, "/nowhere", None, TOKEN, "a");
+    let no_account = call(caller, "/vouchers", Some("vm-1.1.1"), "wrong", "b");
+    let bad_ticket = call(caller, "/vouchers", Some("what"), TOKEN, "c");
+    let large = agent().post(format!("http://{caller}/portal")).send(&too_large).expect("an answer");
+
+    assert_eq!(outcome(&no_route), (404, "not-run"));
+    assert_eq!(outcome(&no_account), (401, "not-run"));
+    assert_eq!(outcome(&bad_ticket), (400, "not-run"));
+    assert_eq!(outcome(&large), (413, "not-run"));
+    assert!(fleet.runs().expect("the run logs").is_empty());
+    fleet.close();
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_and_a_racing_one_names_the_winner() {
+    let fleet = small_fleet();
+    let dir = std::env::temp_dir().join(format!("jayreach-change-{}", std::process::id()));
+    fs::create_dir_all(&dir).expect("a folder");
+    let shown = fleet.command(&["show"]).expect("the targets").1;
+    let (mine, theirs) = (dir.join("mine.toml"), dir.join("theirs.toml"));
+    fs::write(&mine, shown.replace("importance = 30", "importance = 31")).expect("a file");
+    fs::write(&theirs, shown.replace("importance = 30", "importance = 32")).expect("a file");
+
+    let applied = fleet.apply(&mine).expect("the change is accepted");
+    let lost = fleet.command(&["apply", path(&theirs), "--why", "racing", "--who", "second"]).expect("a command");
+
+    assert!(applied.contains("in force in all 2 daemons"), "{applied}");
+    assert_eq!(lost.0, Some(3), "{}", lost.1);
+    assert!(lost.1.contains("version 2 is in force") && lost.1.contains("by operator (stand-in)"), "{}", lost.1);
+    let versions: Vec<_> =
+        fleet.daemons.iter().map(|it| status(it.local).expect("a status")["config_version"].as_u64()).collect();
+    assert_eq!(versions, [Some(2), Some(2)]);
+    let audit = fleet.command(&["audit", "--last", "1"]).expect("a command").1;
+    assert!(audit.contains("version 2") && audit.contains("~ class lookup"), "{audit}");
+    fs::remove_dir_all(dir).expect("the folder goes");
+    fleet.close();
+}
+
+fn path(it: &Path) -> &str {
+    it.to_str().expect("a path in UTF-8")
+}
+
+#[test]
+fn a_stop_under_load_cuts_nothing() {
+    let mut fleet = prairie().start(3).expect("the deployment");
+    let load = Load {
+        mix: prairie().mix,
+        rate: 150.0,
+        duration: Duration::from_secs(6),
+        seed: 3,
+        workers: 32,
+        asks_again: false,
+    };
+    let callers = fleet.callers();
+
+    let history = thread::scope(|scope| {
+        let running = scope.spawn(|| load::run(&load, &callers));
+        thread::sleep(Duration::from_secs(2));
+        assert!(fleet.daemons[1].process.stop(), "the daemon ends well");
+        running.join().expect("the load does not panic")
+    });
+
+    let verdict = history::check(&load.mix, &history, &fleet.runs().expect("the run logs"));
+    assert!(verdict.holds(), "{verdict}");
+    assert_eq!(verdict.unknown_but_ran, 0, "{verdict}");
+    fleet.close();
+}
