--- a/src/daemon/client.rs
+++ b/src/daemon/client.rs
@@ -60,8 +60,10 @@
             Connection::Fresh => &self.fresh,
         };
         let req = agent.configure_request(req).timeout_global(Some(timeout)).build();
+        // The answer to HEAD states the length of a body that it does not have.
+        let has_body = req.method() != ureq::http::Method::HEAD;
         let resp = agent.run(req).map_err(|it| silence(&it))?;
-        whole(resp).map_err(|it| silence(&it))
+        whole(resp, has_body).map_err(|it| silence(&it))
     }
 }
 
@@ -82,14 +84,14 @@
     Agent::new_with_config(config)
 }
 
-fn whole(mut resp: Response<Body>) -> Result<Reply, ureq::Error> {
+fn whole(mut resp: Response<Body>, has_body: bool) -> Result<Reply, ureq::Error> {
     let stated = resp.headers().get("content-length").and_then(|it| it.to_str().ok()?.parse().ok());
     let headers = resp.headers().iter();
     let headers = headers
         .filter_map(|(name, value)| Some(Header { name: name.as_str().into(), value: value.to_str().ok()?.into() }))
         .collect();
     let body = resp.body_mut().with_config().limit(BODY_LIMIT as u64).read_to_vec()?;
-    if stated.is_some_and(|it: usize| it != body.len()) {
+    if has_body && stated.is_some_and(|it: usize| it != body.len()) {
         return Err(ureq::Error::Io(io::ErrorKind::UnexpectedEof.into()));
     }
     Ok(Reply { status: resp.status().as_u16(), headers, body })
@@ -100,6 +102,7 @@
     match error {
         ureq::Error::ConnectionFailed | ureq::Error::Timeout(Timeout::Connect) => Silence::Refused,
         ureq::Error::Io(it) if it.kind() == io::ErrorKind::ConnectionRefused => Silence::Refused,
+        ureq::Error::Io(it) if it.kind() == io::ErrorKind::AddrNotAvailable => Silence::NoLocalPort,
         _ => Silence::Lost,
     }
 }
--- a/src/daemon/guard.rs
+++ b/src/daemon/guard.rs
@@ -247,7 +247,7 @@
             let mut inner = lock(&self.inner);
             let at = inner.find(&dispatch.endpoint).ok_or(Refusal::EndpointLeaving)?;
             let endpoint = &mut inner.endpoints[at];
-            if !endpoint.standing.admits(dispatch.leg.is_none()) {
+            if !endpoint.standing.admits() {
                 return Err(Refusal::EndpointLeaving);
             }
             let (admission, evicted) = endpoint.gate.arrive(arrival, Instant::now());
@@ -356,7 +356,7 @@
         if changed {
             log_change(&self.id, before, self.standing.state());
         }
-        if !self.standing.admits(true) {
+        if !self.standing.admits() {
             for release in self.gate.refuse_all(Refusal::EndpointLeaving) {
                 self.release(Some(release));
             }
@@ -423,6 +423,7 @@
             let Reply { status, headers, body } = reply;
             (Outcome::Done(Answer { status, headers, body }), Some(sample))
         }
+        Called::Silent(Silence::NoLocalPort) => (Outcome::NotRun(Refusal::Overloaded), None),
         Called::Silent(Silence::Refused) => (Outcome::NotRun(Refusal::EndpointUnreachable), Some(Sample::Bad)),
         Called::Silent(Silence::Lost) => (Outcome::Unknown(Doubt::EndpointSilent), Some(Sample::Bad)),
     }
--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -103,6 +103,7 @@
         match self.send(target, order, leg, work, connection, budget, budget + GRACE) {
             Ok(reply) => reply.outcome,
             Err(Silence::Refused) => Outcome::NotRun(Refusal::GuardUnreachable),
+            Err(Silence::NoLocalPort) => Outcome::NotRun(Refusal::Overloaded),
             Err(Silence::Lost) => Outcome::Unknown(Doubt::GuardSilent),
         }
     }
@@ -139,7 +140,8 @@
                 target.guard.answered();
                 target.tell(reply);
             }
-            Err(_) => target.guard.failed(),
+            Err(Silence::NoLocalPort) => (),
+            Err(Silence::Refused | Silence::Lost) => target.guard.failed(),
         }
         result
     }
@@ -161,7 +163,7 @@
         };
         match self.peers.forward(address, &forward, order.left() + GRACE) {
             Ok(outcome) => outcome,
-            Err(Silence::Refused) => self.ask_ledgers(order, ticket),
+            Err(Silence::Refused | Silence::NoLocalPort) => self.ask_ledgers(order, ticket),
             Err(Silence::Lost) => Outcome::Unknown(Doubt::HomeUnreachable),
         }
     }
--- a/src/daemon/view.rs
+++ b/src/daemon/view.rs
@@ -218,7 +218,7 @@
             return Ok(Arc::clone(it));
         }
         let allowed = service.targets.iter().zip(&service.eligible);
-        let allowed: Vec<_> = allowed.filter(|(it, ok)| **ok && it.fits(idempotent)).map(|(it, _)| it).collect();
+        let allowed: Vec<_> = allowed.filter(|(_, ok)| **ok).map(|(it, _)| it).collect();
         let candidates: Vec<_> = allowed.iter().map(|it| it.candidate(importance, tried, now)).collect();
         let at = choose(&candidates, rng).ok_or(Refusal::NoEndpoint)?;
         let refused = |it: &&Arc<Target>| it.told(now).is_some_and(|told| told.admits > importance);
@@ -286,13 +286,6 @@
     names
 }
 
-impl Target {
-    /// A trial is for idempotent work only, also when the floor brings it back.
-    fn fits(&self, idempotent: bool) -> bool {
-        idempotent || self.row.state != EndpointState::Trial
-    }
-}
-
 impl Service {
     fn new(name: Box<str>, targets: Vec<Arc<Target>>, directory: Option<&Directory>) -> Self {
         let floor = directory.and_then(|it| it.service(&name)).map_or(DEFAULT_FLOOR, |it| it.floor_percent);
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -41,6 +41,8 @@
     TrialPassed,
     /// The trial failed.
     TrialFailed,
+    /// No idempotent work came to try it with.
+    TrialStarved,
 }
 
 /// The lengths of time and counts of the return to service.
@@ -98,11 +100,11 @@
         self.detector.rate()
     }
 
-    /// Whether work may be admitted; `idempotent` work may try an endpoint out.
-    pub fn admits(&self, idempotent: bool) -> bool {
+    /// Whether work may be admitted. What ejected or tried endpoints get is for the ingresses to
+    /// say, which know the floor.
+    pub fn admits(&self) -> bool {
         match self.state {
-            EndpointState::Serving | EndpointState::Suspect | EndpointState::Ejected => true,
-            EndpointState::Trial => idempotent,
+            EndpointState::Serving | EndpointState::Suspect | EndpointState::Ejected | EndpointState::Trial => true,
             EndpointState::Starting | EndpointState::Leaving | EndpointState::Gone => false,
         }
     }
@@ -114,6 +116,7 @@
             EndpointState::Ejected => self.enter_ejected(now),
             EndpointState::Trial => self.passed = 0,
             EndpointState::Serving | EndpointState::Starting => self.detector.reset(),
+            EndpointState::Suspect if self.state == EndpointState::Trial => self.detector.reset(),
             EndpointState::Suspect | EndpointState::Leaving | EndpointState::Gone => (),
         }
         self.state = next;
@@ -155,8 +158,14 @@
 
     /// Lets time pass; returns whether the state changed.
     pub fn tick(&mut self, now: Instant) -> bool {
-        let over = now.saturating_duration_since(self.since) >= self.hold_down();
-        self.state == EndpointState::Ejected && over && self.on(Event::HoldDownOver, now)
+        if now.saturating_duration_since(self.since) < self.hold_down() {
+            return false;
+        }
+        match self.state {
+            EndpointState::Ejected => self.on(Event::HoldDownOver, now),
+            EndpointState::Trial if self.passed == 0 => self.on(Event::TrialStarved, now),
+            _ => false,
+        }
     }
 
     /// How long this ejection lasts: doubled for each one before it.
--- a/src/ticket/judge.rs
+++ b/src/ticket/judge.rs
@@ -18,6 +18,8 @@
 pub enum Silence {
     /// The connection was refused: the guard never saw the call.
     Refused,
+    /// This daemon has no port left for a connection; nothing was sent.
+    NoLocalPort,
     /// The call may have reached the guard.
     Lost,
 }
@@ -35,6 +37,7 @@
 pub fn judge_silence(silence: Silence) -> Verdict {
     match silence {
         Silence::Refused => Verdict::TryAnother(Refusal::GuardUnreachable),
+        Silence::NoLocalPort => Verdict::TryAnother(Refusal::Overloaded),
         Silence::Lost => Verdict::Ask,
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,10 +1,12 @@
 //! Small stand-ins for the systems around jayreach, and the tools that measure it. Not shipped.
 
+pub mod bench;
 pub mod demo;
 pub mod deployment;
 pub mod endpoint;
 pub mod fleet;
 pub mod history;
 pub mod load;
+pub mod proc;
 pub mod soak;
 pub mod store;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{Bpaf, Parser as _};
 use standins::{
-    demo,
+    bench, demo,
     endpoint::{self, EndpointOptions},
     soak::{self, FAULTS, SoakOptions},
     store,
@@ -55,6 +55,13 @@
         #[bpaf(argument("SEED"), fallback(1))]
         seed: u64,
     },
+    /// Measure what a pair of daemons adds to a request
+    #[bpaf(command)]
+    Bench {
+        /// Requests a second of the open loop
+        #[bpaf(argument("RATE"), fallback(1000.0))]
+        rate: f64,
+    },
     /// Keep a deployment under load and faults, and end with a verdict
     #[bpaf(command)]
     Soak {
@@ -93,6 +100,7 @@
             endpoint::run(options).map(|()| true)
         }
         Command::Demo { rate, seed } => demo::run(rate, seed),
+        Command::Bench { rate } => bench::run(rate).map(|()| true),
         Command::Soak { seed, minutes, rate } => soak(seed, minutes, rate),
     }
 }
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -1,7 +1,19 @@
 //! The whole path through separate processes: store, daemons, endpoints, callers.
 
-use std::{fs, net::SocketAddr, path::Path, thread, time::Duration};
+use std::{
+    fs,
+    io::Read as _,
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 
+use rstest::rstest;
 use standins::{
     deployment::{prairie, repository_file},
     fleet::{EndpointShape, Fleet, TOKEN, status},
@@ -126,6 +138,44 @@
     it.to_str().expect("a path in UTF-8")
 }
 
+#[rstest]
+#[case("/billing/charges", 1)]
+#[case("/portal", 4)]
+fn a_charge_is_written_once_and_a_lookup_a_few_times_however_they_end(#[case] path: &str, #[case] most: usize) {
+    let mut fleet = Fleet::start().expect("a store");
+    fleet.add_daemon("dc-1").expect("a daemon");
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = silent.local_addr().expect("an address");
+    let written = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&written);
+    thread::spawn(move || {
+        for stream in silent.incoming() {
+            // It reads the request, or its cancellation, and closes the connection without an answer.
+            let mut buf = [0; 4096];
+            let read = stream.and_then(|mut it| it.read(&mut buf)).unwrap_or(0);
+            count.fetch_add(usize::from(buf[..read].starts_with(b"POST")), Ordering::AcqRel);
+        }
+    });
+    for service in ["billing", "portal"] {
+        let body = format!(r#"{{"service":"{service}","address":"{address}","slots":2,"state":"serving"}}"#);
+        let sent = ureq::post(format!("http://{}/announce", fleet.daemons[0].local)).send(&body);
+        sent.expect("the announcement is taken");
+        fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+        fleet.wait_for_endpoints(1).expect("the endpoint is seen");
+        if path.contains(service) {
+            break;
+        }
+    }
+    let caller = fleet.callers()[0];
+
+    let charge = call(caller, path, Some(&ticket(caller)), TOKEN, "charge-1");
+
+    assert_eq!(outcome(&charge), (504, "unknown"));
+    let requests = written.load(Ordering::Acquire);
+    assert!((1..=most).contains(&requests), "{requests} requests were written");
+    fleet.close();
+}
+
 #[test]
 fn a_stop_under_load_cuts_nothing() {
     let mut fleet = prairie().start(3).expect("the deployment");
