Overload, gray failure and idle listeners: found by measuring, mended

Cause (three, each found by a run of the new `standins overload`): 1. Waiting 300 ms for ticketed work counted as a failure of the path to its guard; all paths rested and the collapse fed itself. 2. Still 97 to 99% of charges: work whose deadline passed went on holding its slot at the endpoint while the guard gave the slot away. 3. After half a minute all endpoints were gone: with a read timeout on the listening socket tiny_http's accept times out too, and a server whose accept failed once takes no new connections.

Ruled out: ports of loopback (no NoLocalPort counted), ejection under overload (all endpoints were "serving"), the size of the pools.

Change: a ticketed attempt is asked about before its path is blamed. A slot stays in use until the cancellation has reached the endpoint; admission counts mean plus 2.5 mean deviations; a home retries refusals within the class's budget. Listeners are kept awake, and renewed after a pause of the process. The detector's good hypothesis is twice the median rate of the others, with a faster rate, and its two points come from the curve.

--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -6,7 +6,7 @@
 };
 
 use serde::Serialize;
-use tiny_http::{Request, Server};
+use tiny_http::Request;
 
 use crate::{
     daemon::{
@@ -59,15 +59,8 @@
     status: Option<u16>,
 }
 
-/// Answers callers until the server is unblocked.
-pub(crate) fn serve(daemon: &Arc<Daemon>, server: &Server) {
-    while let Ok(req) = server.recv() {
-        accept(daemon, req);
-    }
-}
-
 /// Finds out how much the request matters before a thread is given to it.
-fn accept(daemon: &Arc<Daemon>, req: Request) {
+pub(crate) fn accept(daemon: &Arc<Daemon>, req: Request) {
     let config = daemon.config.get();
     let found = config.as_ref().and_then(|it| it.directory.route(path(req.url())));
     let share = found.map_or(0.5, |it| daemon.share(it.class.importance));
@@ -191,15 +184,13 @@
     let Prepared { path, deadline, ticket, work } = prepared;
     let found = config.directory.route(&path).expect("the path was routed by this configuration");
     let started = Instant::now();
-    let order = Order { service: &found.service.name, importance: found.class.importance, deadline };
+    let Found { service, class, .. } = found;
+    let order = Order { service: &service.name, class: &class.name, importance: class.importance, deadline };
     let outcome = match ticket {
         Some(ticket) => daemon.run_ticketed(order, &ticket, work),
-        None => {
-            daemon.budgets.earn(&found.class.name);
-            daemon.run_idempotent(order, &work, || daemon.budgets.spend(&found.class.name))
-        }
+        None => daemon.run_idempotent(order, &work),
     };
-    count(&found.class.name, &outcome, started.elapsed());
+    count(&class.name, &outcome, started.elapsed());
     tell(req, outcome);
 }
 
--- a/src/daemon/guard.rs
+++ b/src/daemon/guard.rs
@@ -230,12 +230,13 @@
         let now = Instant::now();
         let (outcome, sample) = judge(called);
         let measure = measure(&dispatch.endpoint);
-        if self.leave(&dispatch.endpoint, now - admitted, sample, measure, now) {
-            changed();
-        }
         if outcome == Outcome::Unknown(Doubt::EndpointSilent) {
+            // The endpoint's slot stays in use until the cancellation has reached it.
             cancel(client, dispatch);
         }
+        if self.leave(&dispatch.endpoint, now - admitted, sample, measure, now) {
+            changed();
+        }
         outcome
     }
 
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -2,7 +2,9 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -14,19 +16,69 @@
 /// The longest body of a request or an answer, in bytes.
 pub(crate) const BODY_LIMIT: usize = 1 << 20;
 /// How long a connection may be silent before it is dropped.
-const READ_TIMEOUT: Duration = Duration::from_secs(30);
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a listener is connected to; well below the read timeout.
+const KEEP_AWAKE: Duration = Duration::from_secs(3);
 /// How long a write may be stuck before the connection is dropped.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a whole body may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
-/// Opens a listener. `tiny_http` has no timeouts, so the listening socket hands them down.
-pub(crate) fn listen(address: SocketAddr) -> Result<Server, Error> {
-    let socket = open(address).map_err(|it| Error::io(format!("listening on {address}"), it))?;
-    Server::from_listener(TcpListener::from(socket), None)
-        .map_err(|it| Error::io(format!("listening on {address}"), io::Error::other(it.to_string())))
+/// A listening socket. `tiny_http` has no timeouts, so the socket hands them down to the accepted
+/// ones; but its own `accept` obeys the read timeout as well, and a server whose `accept` has
+/// failed once takes no new connections. [`Listener::keep_awake`] connects often enough that this
+/// does not happen; after a pause of the whole process it does, and [`Listener::serve`] goes on
+/// with a second server on the same socket.
+pub(crate) struct Listener {
+    address: SocketAddr,
+    socket: TcpListener,
+}
+
+impl Listener {
+    /// Listens on `address`.
+    pub(crate) fn open(address: SocketAddr) -> Result<Self, Error> {
+        let socket = open(address).map_err(|it| Error::io(format!("listening on {address}"), it))?;
+        Ok(Self { address, socket: socket.into() })
+    }
+
+    /// Passes requests to `accept`, for ever.
+    pub(crate) fn serve(self: Arc<Self>, accept: impl Fn(Request) + Clone + Send + 'static) {
+        let server = match self.server() {
+            Ok(it) => it,
+            Err(error) => {
+                log::error!("no server on {}: {error}", self.address);
+                std::process::abort();
+            }
+        };
+        loop {
+            match server.recv() {
+                Ok(req) => accept(req),
+                Err(error) => {
+                    log::warn!("accepting on {} failed and begins anew: {error}", self.address);
+                    metrics::counter!("jayreach_listeners_renewed_total").increment(1);
+                    // This thread goes on with the connections that the first server has.
+                    let (next, accept) = (Arc::clone(&self), accept.clone());
+                    thread::spawn(move || next.serve(accept));
+                }
+            }
+        }
+    }
+
+    /// Connects now and then, for ever, so that `accept` does not time out for want of callers.
+    pub(crate) fn keep_awake(&self) {
+        loop {
+            if let Err(error) = TcpStream::connect_timeout(&self.address, KEEP_AWAKE) {
+                log::debug!("connecting to {}: {error}", self.address);
+            }
+            thread::sleep(KEEP_AWAKE);
+        }
+    }
+
+    fn server(&self) -> io::Result<Server> {
+        Server::from_listener(self.socket.try_clone()?, None).map_err(io::Error::other)
+    }
 }
 
 fn open(address: SocketAddr) -> io::Result<Socket> {
--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -52,6 +52,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Order<'a> {
     pub(crate) service: &'a str,
+    pub(crate) class: &'a str,
     pub(crate) importance: Importance,
     pub(crate) deadline: Instant,
 }
@@ -63,13 +64,14 @@
 }
 
 impl Daemon {
-    /// Runs idempotent work; `may_retry` takes one retry out of the class's budget.
-    pub(crate) fn run_idempotent(&self, order: Order<'_>, work: &Work, may_retry: impl Fn() -> bool) -> Outcome {
+    /// Runs idempotent work.
+    pub(crate) fn run_idempotent(&self, order: Order<'_>, work: &Work) -> Outcome {
+        self.budgets.earn(order.class);
         let mut tried: Vec<Arc<Target>> = Vec::new();
         let mut last = Outcome::NotRun(Refusal::TooLate);
         let mut kept = None;
         while tried.len() < ATTEMPTS && !order.left().is_zero() {
-            if !tried.is_empty() && !free_retry(&last) && !may_retry() {
+            if !tried.is_empty() && !self.may_retry(order, &last) {
                 break;
             }
             let target = match self.choose(order, true, &tried) {
@@ -128,6 +130,7 @@
             leg,
             work: work.clone(),
         };
+        let ticketed = dispatch.leg.is_some();
         let in_flight = target.start();
         let result = if self.is_self(&target.guard) {
             Ok(self.execute(&dispatch))
@@ -141,7 +144,10 @@
                 target.tell(reply);
             }
             Err(Silence::NoLocalPort) => (),
-            Err(Silence::Refused | Silence::Lost) => target.guard.failed(),
+            Err(Silence::Refused) => target.guard.failed(),
+            // A ticketed attempt is asked about before its path is blamed.
+            Err(Silence::Lost) if ticketed => (),
+            Err(Silence::Lost) => target.guard.failed(),
         }
         result
     }
@@ -152,6 +158,7 @@
             ticket: ticket.clone(),
             budget_ms: order.left().as_millis() as u64,
             service: order.service.into(),
+            class: order.class.into(),
             importance: order.importance,
             work,
         };
@@ -171,7 +178,8 @@
     /// Runs work under one of this daemon's own tickets.
     pub(crate) fn run_at_home(&self, forward: &Forward) -> Outcome {
         let deadline = Instant::now() + Duration::from_millis(forward.budget_ms);
-        let order = Order { service: &forward.service, importance: forward.importance, deadline };
+        let Forward { service, class, importance, .. } = forward;
+        let order = Order { service, class, importance: *importance, deadline };
         if self.leaving() && !self.may_have_run(&forward.ticket) {
             return Outcome::NotRun(Refusal::ShuttingDown);
         }
@@ -193,7 +201,11 @@
     fn run_attempts(&self, order: Order<'_>, ticket: &Ticket, work: &Work) -> Outcome {
         let mut tried: Vec<Arc<Target>> = Vec::new();
         let mut last = Refusal::TooLate;
+        self.budgets.earn(order.class);
         while tried.len() < ATTEMPTS && !order.left().is_zero() {
+            if !tried.is_empty() && !self.may_retry(order, &Outcome::NotRun(last)) {
+                break;
+            }
             let target = match self.choose(order, false, &tried) {
                 Ok(it) => it,
                 Err(refusal) if tried.is_empty() => return Outcome::NotRun(refusal),
@@ -204,9 +216,6 @@
                 Verdict::TryAnother(refusal) => last = refusal,
                 Verdict::Ask => return Outcome::Unknown(Doubt::GuardSilent),
             }
-            if !free_retry(&Outcome::NotRun(last)) {
-                break;
-            }
             tried.push(target);
         }
         Outcome::NotRun(last)
@@ -227,8 +236,12 @@
         };
         while verdict == Verdict::Ask && !order.left().is_zero() {
             verdict = match self.revoke(&target.guard, leg.clone(), order.left().min(ASK_WAIT)) {
-                Ok(reply) => judge_revoke(reply),
+                Ok(reply) => {
+                    target.guard.answered();
+                    judge_revoke(reply)
+                }
                 Err(_) => {
+                    target.guard.failed();
                     thread::sleep(ASK_PAUSE.min(order.left()));
                     Verdict::Ask
                 }
@@ -317,6 +330,12 @@
         RNG.with_borrow_mut(|rng| self.view.choose(order.service, order.importance, idempotent, tried, rng))
     }
 
+    /// Whether the last attempt may be followed by another one; takes it out of the class's budget
+    /// if it costs the endpoints anything.
+    fn may_retry(&self, order: Order<'_>, last: &Outcome) -> bool {
+        free_retry(last) || self.budgets.spend(order.class)
+    }
+
     fn is_self(&self, guard: &Guard) -> bool {
         guard.daemon == self.settings.name
     }
--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -1,9 +1,12 @@
 //! The local listener: endpoints announce themselves, operators look and steer.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{Arc, Mutex},
+    time::Instant,
+};
 
 use serde::{Deserialize, Serialize};
-use tiny_http::{Method, Request, Server};
+use tiny_http::{Method, Request};
 
 use crate::{
     daemon::{
@@ -55,22 +58,20 @@
     pub silent: Vec<Box<str>>,
 }
 
-/// Answers until the server is unblocked.
-pub(crate) fn serve(daemon: &Arc<Daemon>, server: &Server) {
-    while let Ok(req) = server.recv() {
-        let cx = Arc::clone(daemon);
-        let slot = Arc::new(std::sync::Mutex::new(Some(req)));
-        let taken = Arc::clone(&slot);
-        let job = Box::new(move || {
-            if let Some(req) = lock(&taken).take() {
-                answer(&cx, req);
-            }
-        });
-        if daemon.pools.control.run(job, 1.0).is_err()
-            && let Some(req) = lock(&slot).take()
-        {
-            respond(req, 503, &[("Retry-After", "1")], Vec::new());
+/// Takes a request of an endpoint or an operator.
+pub(crate) fn accept(daemon: &Arc<Daemon>, req: Request) {
+    let cx = Arc::clone(daemon);
+    let slot = Arc::new(Mutex::new(Some(req)));
+    let taken = Arc::clone(&slot);
+    let job = Box::new(move || {
+        if let Some(req) = lock(&taken).take() {
+            answer(&cx, req);
         }
+    });
+    if daemon.pools.control.run(job, 1.0).is_err()
+        && let Some(req) = lock(&slot).take()
+    {
+        respond(req, 503, &[("Retry-After", "1")], Vec::new());
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -34,6 +34,7 @@
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
+use tiny_http::Request;
 
 pub use guard::{AnnouncedState, Announcement};
 pub use local::InForceCount;
@@ -45,6 +46,7 @@
         config::ConfigCell,
         desk::HomeDesk,
         guard::{GuardDesk, Measure},
+        http::Listener,
         peers::Peers,
         phase::{Phase, PhaseCell, PhaseEvent},
         pool::Pool,
@@ -141,14 +143,14 @@
 /// Runs a daemon until it is told to stop.
 pub fn run(settings: Settings) -> Result<(), Error> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|it| Error::io("taking signals", it))?;
-    let callers = Arc::new(http::listen(settings.callers)?);
-    let peers = Arc::new(http::listen(settings.peers)?);
-    let local = Arc::new(http::listen(settings.local)?);
+    let callers = Listener::open(settings.callers)?;
+    let peers = Listener::open(settings.peers)?;
+    let local = Listener::open(settings.local)?;
     let (tx, rx) = crossbeam::channel::unbounded();
     let daemon = Arc::new(Daemon::new(settings, tx)?);
-    spawn("peers", &daemon, move |it| peers::serve(it, &peers));
-    spawn("local", &daemon, move |it| local::serve(it, &local));
-    spawn("callers", &daemon, move |it| callers::serve(it, &callers));
+    serve("peers", &daemon, peers, peers::accept);
+    serve("local", &daemon, local, local::accept);
+    serve("callers", &daemon, callers, callers::accept);
     spawn("spread", &daemon, move |it| spread::run(it, &rx));
     spawn("membership", &daemon, membership::run);
     spawn("watcher", &daemon, watcher::run);
@@ -167,6 +169,17 @@
     result.expect("a daemon can start its first threads");
 }
 
+/// Serves a listener from threads of its own.
+fn serve(name: &'static str, daemon: &Arc<Daemon>, listener: Listener, accept: fn(&Arc<Daemon>, Request)) {
+    let listener = Arc::new(listener);
+    let awake = Arc::clone(&listener);
+    spawn("keep-awake", daemon, move |_| awake.keep_awake());
+    spawn(name, daemon, move |it| {
+        let daemon = Arc::clone(it);
+        listener.serve(move |req| accept(&daemon, req));
+    });
+}
+
 /// Lets time pass for the endpoints.
 fn tick(daemon: &Arc<Daemon>) {
     loop {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use subtle::ConstantTimeEq as _;
-use tiny_http::{Request, Server};
+use tiny_http::Request;
 use ureq::http;
 
 use crate::{
@@ -185,14 +185,8 @@
     }
 }
 
-/// Answers peers until the server is unblocked.
-pub(crate) fn serve(daemon: &Arc<Daemon>, server: &Server) {
-    while let Ok(req) = server.recv() {
-        accept(daemon, req);
-    }
-}
-
-fn accept(daemon: &Arc<Daemon>, req: Request) {
+/// Takes a peer's call, if the key fits, and gives it to the pool it belongs to.
+pub(crate) fn accept(daemon: &Arc<Daemon>, req: Request) {
     if !key_fits(&req, &daemon.settings.peer_key) {
         metrics::counter!("jayreach_peer_refusals_total").increment(1);
         return respond(req, 403, &[], b"wrong or missing peer key".to_vec());
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -14,6 +14,8 @@
 const QUEUE_PER_SLOT: usize = 4;
 /// The share of a new service time in the running mean.
 const MEAN_SHARE: f64 = 0.1;
+/// By how many mean distances nearly all service times exceed their mean.
+const SPREADS: f64 = 2.5;
 
 /// Work that asks to be admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,12 +58,14 @@
     queue: Vec<Arrival>,
     /// The running mean of service times, in seconds; zero before the first.
     mean: f64,
+    /// The running mean of their distance from it, in seconds.
+    spread: f64,
 }
 
 impl Gate {
     /// A gate before an endpoint with `slots`.
     pub fn new(slots: u16) -> Self {
-        Self { slots, running: 0, queue: Vec::new(), mean: 0.0 }
+        Self { slots, running: 0, queue: Vec::new(), mean: 0.0, spread: 0.0 }
     }
 
     /// Takes a new number of slots.
@@ -131,7 +135,7 @@
         let mut releases = Vec::new();
         while self.running < self.slots && !self.queue.is_empty() {
             let first = self.queue.remove(0);
-            let in_time = now + Duration::from_secs_f64(self.mean) <= first.deadline;
+            let in_time = now + self.own_run() <= first.deadline;
             let admission = if in_time { Admission::Run } else { Admission::Refuse(Refusal::TooLate) };
             self.running += u16::from(in_time);
             releases.push(Release { id: first.id, admission });
@@ -141,8 +145,13 @@
 
     /// How long work at place `at` of the queue is expected to take, with its own run.
     fn expected(&self, at: usize) -> Duration {
-        let rounds = at as f64 / f64::from(self.slots.max(1)) + 1.0;
-        Duration::from_secs_f64(rounds * self.mean)
+        let rounds = (at + 1) as f64 / f64::from(self.slots.max(1));
+        Duration::from_secs_f64(rounds * self.mean) + self.own_run()
+    }
+
+    /// How long nearly all work takes once it runs.
+    fn own_run(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + SPREADS * self.spread)
     }
 
     fn queue_limit(&self) -> usize {
@@ -151,8 +160,12 @@
 
     fn learn(&mut self, took: Duration) {
         let took = took.as_secs_f64();
-        let share = if self.mean == 0.0 { 1.0 } else { MEAN_SHARE };
-        self.mean += (took - self.mean) * share;
+        if self.mean == 0.0 {
+            self.mean = took;
+            return;
+        }
+        self.spread += ((took - self.mean).abs() - self.spread) * MEAN_SHARE;
+        self.mean += (took - self.mean) * MEAN_SHARE;
     }
 }
 
--- a/src/decide/detector.rs
+++ b/src/decide/detector.rs
@@ -12,7 +12,10 @@
 /// How far the bad hypothesis is from the good one, in shares of what is left.
 const BAD_SHARE: f64 = 0.4;
 /// The share of a new sample in the running failure rate.
-const RATE_SHARE: f64 = 0.05;
+const RATE_SHARE: f64 = 0.1;
+/// How many times the baseline is the good hypothesis: the others' rates are estimates, and below
+/// the true rate the evidence of shared trouble would grow for ever.
+const BASELINE_MARGIN: f64 = 2.0;
 /// The levels of `failure_level` count from this power of two.
 const LEVELS: f64 = 11.0;
 
@@ -52,23 +55,22 @@
 }
 
 impl Detector {
-    /// Takes a sample in; `baseline` is the failure rate of the service's other endpoints.
-    pub fn record(&mut self, sample: Sample, baseline: f64, weighs: Weighs) -> Evidence {
-        let good = baseline.clamp(GOOD_RATE, GOOD_RATE_LIMIT);
+    /// Takes a sample in; `baseline` is the failure rate of the service's other endpoints, `limit`
+    /// how much evidence is enough, in nats.
+    pub fn record(&mut self, sample: Sample, baseline: f64, limit: f64) -> Evidence {
+        let good = (baseline * BASELINE_MARGIN).clamp(GOOD_RATE, GOOD_RATE_LIMIT);
         let bad = good + (1.0 - good) * BAD_SHARE;
         let (ratio, failed) = match sample {
             Sample::Bad => (bad / good, 1.0),
             Sample::Good => ((1.0 - bad) / (1.0 - good), 0.0),
         };
-        let limit = threshold(weighs);
         self.sum = (self.sum + ratio.ln()).clamp(0.0, 2.0 * limit);
         self.rate += (failed - self.rate) * RATE_SHARE;
-        self.evidence(weighs)
+        self.evidence(limit)
     }
 
     /// What the samples so far say.
-    pub fn evidence(&self, weighs: Weighs) -> Evidence {
-        let limit = threshold(weighs);
+    fn evidence(&self, limit: f64) -> Evidence {
         if self.sum >= limit {
             Evidence::Bad
         } else if self.sum >= limit / 2.0 {
@@ -91,10 +93,10 @@
 
 /// How many nats of evidence eject an endpoint: the two points taken from the curve of detection
 /// time against false ejections (docs/MEASUREMENTS.md, gray failure).
-fn threshold(weighs: Weighs) -> f64 {
+pub fn enough_evidence(weighs: Weighs) -> f64 {
     match weighs {
-        Weighs::DetectionTime => 8.0,
-        Weighs::FalseEjections => 14.0,
+        Weighs::DetectionTime => 11.0,
+        Weighs::FalseEjections => 18.0,
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,7 +11,7 @@
 pub use admission::{Admission, Arrival, Gate, Release, WaiterId};
 pub use budget::RetryBudget;
 pub use choice::{Candidate, Choice, choose};
-pub use detector::{Detector, Evidence, Sample, baseline, failure_level, level_rate};
+pub use detector::{Detector, Evidence, Sample, baseline, enough_evidence, failure_level, level_rate};
 pub use floor::{Standing as FloorStanding, eligible};
 pub use path::PathHealth;
 pub use standing::{Event, Standing, Tuning};
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     chart::Chart,
-    decide::detector::{Detector, Evidence, Sample},
+    decide::detector::{Detector, Evidence, Sample, enough_evidence},
     rows::EndpointState,
     targets::Weighs,
 };
@@ -134,7 +134,7 @@
 
     /// Takes a sample in; returns whether the state changed.
     pub fn sample(&mut self, sample: Sample, baseline: f64, weighs: Weighs, now: Instant) -> bool {
-        let evidence = self.detector.record(sample, baseline, weighs);
+        let evidence = self.detector.record(sample, baseline, enough_evidence(weighs));
         match self.state {
             EndpointState::Serving | EndpointState::Suspect => match evidence {
                 Evidence::Clear => self.on(Event::EvidenceClear, now),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -248,6 +248,8 @@
     pub budget_ms: u64,
     /// The service.
     pub service: Box<str>,
+    /// The class, whose retry budget the home keeps to.
+    pub class: Box<str>,
     /// How much the work matters.
     pub importance: Importance,
     /// The request.
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -2,12 +2,13 @@
 //! a run log by which the history check knows what really ran.
 
 use std::{
+    collections::HashMap,
     fs::{File, OpenOptions},
     io::{self, Write as _},
     net::SocketAddr,
     path::PathBuf,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
@@ -23,6 +24,8 @@
 const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
 /// How long an endpoint goes on announcing that it leaves.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// How long work hangs that never answers.
+const HANG: Duration = Duration::from_secs(30);
 /// Names the operation of a request, in the run log and in the answer.
 pub const OPERATION_HEADER: &str = "X-Operation";
 
@@ -66,6 +69,8 @@
     running: AtomicU32,
     leaving: AtomicBool,
     fault: Mutex<EndpointFault>,
+    /// The requests under way, by the id their guard gave them.
+    requests: Mutex<HashMap<String, Arc<AtomicBool>>>,
     log: Mutex<File>,
     started: Instant,
 }
@@ -80,6 +85,7 @@
         running: AtomicU32::new(0),
         leaving: AtomicBool::new(false),
         fault: Mutex::default(),
+        requests: Mutex::default(),
         log: Mutex::new(log),
         started: Instant::now(),
     });
@@ -139,7 +145,7 @@
     }
 
     fn fault(&self) -> EndpointFault {
-        self.fault.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.fault).clone()
     }
 
     fn answer(&self, mut req: Request) {
@@ -150,35 +156,41 @@
         if req.url() == "/control" {
             let status = match serde_json::from_slice(&body) {
                 Ok(fault) => {
-                    *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+                    *lock(&self.fault) = fault;
                     200
                 }
                 Err(_) => 400,
             };
             return respond(req, status, "", "");
         }
-        if req.url().starts_with("/.jayreach/requests/") {
-            return respond(req, 200, "", "");
+        if let Some(id) = req.url().strip_prefix("/.jayreach/requests/") {
+            let cancelled = lock(&self.requests).get(id).map(|it| it.store(true, Ordering::Release));
+            return respond(req, if cancelled.is_some() { 200 } else { 404 }, "", "");
         }
         if self.running.fetch_add(1, Ordering::AcqRel) >= u32::from(self.options.slots) {
             self.running.fetch_sub(1, Ordering::AcqRel);
             return respond(req, 503, "", "not-run");
         }
-        self.work(req);
+        let id = header(&req, "Jayreach-Request-Id");
+        let cancelled = Arc::new(AtomicBool::new(false));
+        lock(&self.requests).insert(id.clone(), Arc::clone(&cancelled));
+        self.work(req, &cancelled);
+        lock(&self.requests).remove(&id);
         self.running.fetch_sub(1, Ordering::AcqRel);
     }
 
     /// Runs a request: its effect is the line in the log.
-    fn work(&self, req: Request) {
+    fn work(&self, req: Request, cancelled: &AtomicBool) {
         let fault = self.fault();
-        let found = req.headers().iter().find(|it| it.field.equiv(OPERATION_HEADER));
-        let operation = found.map_or_else(String::new, |it| it.value.as_str().to_owned());
-        thread::sleep(self.options.service_time.mul_f64(rand::rng().random_range(0.5..1.5)));
-        thread::sleep(Duration::from_millis(fault.slow_ms));
+        let operation = header(&req, OPERATION_HEADER);
+        let service_time = self.options.service_time.mul_f64(rand::rng().random_range(0.5..1.5));
+        if !sleep_unless(cancelled, service_time + Duration::from_millis(fault.slow_ms)) {
+            return;
+        }
         self.record(&operation);
         let mut rng = rand::rng();
-        if rng.random_bool(fault.hangs) {
-            thread::sleep(Duration::from_secs(30));
+        if rng.random_bool(fault.hangs) && !sleep_unless(cancelled, HANG) {
+            return;
         }
         if fault.truncates {
             let resp = Response::new(200.into(), Vec::new(), operation.as_bytes(), Some(operation.len() + 9), None);
@@ -190,12 +202,35 @@
     }
 
     fn record(&self, operation: &str) {
-        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut log = lock(&self.log);
         let line = format!("{operation}\n");
         log.write_all(line.as_bytes()).expect("the run log can be written");
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn header(req: &Request, name: &'static str) -> String {
+    let found = req.headers().iter().find(|it| it.field.equiv(name));
+    found.map_or_else(String::new, |it| it.value.as_str().to_owned())
+}
+
+/// Sleeps; false if it was cancelled before the time was up.
+fn sleep_unless(cancelled: &AtomicBool, time: Duration) -> bool {
+    const SLICE: Duration = Duration::from_millis(5);
+    let end = Instant::now() + time;
+    while !cancelled.load(Ordering::Acquire) {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return true;
+        }
+        thread::sleep(left.min(SLICE));
+    }
+    false
+}
+
 fn respond(req: Request, status: u16, body: &str, outcome: &str) {
     let mut resp = Response::from_string(body).with_status_code(status);
     if !outcome.is_empty() {
--- a/standins/src/history.rs
+++ b/standins/src/history.rs
@@ -12,6 +12,8 @@
 pub struct Verdict {
     /// Operations.
     pub operations: usize,
+    /// Those that ended with an answer below 500.
+    pub done: usize,
     /// Ticketed operations that ran more than once.
     pub doubled: usize,
     /// Told "not run", but it ran.
@@ -39,9 +41,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "operations {}, ran twice {}, told not-run but ran {}, told done but not run {}, another's answer {}, \
+            "operations {} (done {}), ran twice {}, told not-run but ran {}, told done but not run {}, another's answer {}, \
              unknown {} (of which ran {})",
             self.operations,
+            self.done,
             self.doubled,
             self.not_run_but_ran,
             self.done_but_not_run,
@@ -60,6 +63,7 @@
         let ran = count(runs, &record.operation);
         let ticketed = mix[record.kind].ticketed;
         verdict.doubled += usize::from(ticketed && ran > 1);
+        verdict.done += usize::from(matches!(record.told, Told::Done(..500)));
         verdict.foreign += usize::from(record.foreign);
         let untrue = match record.told {
             Told::NotRun => ran > 0,
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,6 +6,7 @@
 use standins::{
     bench, demo,
     endpoint::{self, EndpointOptions},
+    gray, overload,
     soak::{self, FAULTS, SoakOptions},
     store,
 };
@@ -62,6 +63,23 @@
         #[bpaf(argument("RATE"), fallback(1000.0))]
         rate: f64,
     },
+    /// Print detection time against false ejections, beside two published rules
+    #[bpaf(command)]
+    Gray {
+        /// How long a trace is
+        #[bpaf(argument("HOURS"), fallback(24.0))]
+        hours: f64,
+        /// Seeds the traces
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
+    /// Load a service with up to four times its capacity, and stall it
+    #[bpaf(command)]
+    Overload {
+        /// Seeds the load
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
     /// Keep a deployment under load and faults, and end with a verdict
     #[bpaf(command)]
     Soak {
@@ -101,6 +119,12 @@
         }
         Command::Demo { rate, seed } => demo::run(rate, seed),
         Command::Bench { rate } => bench::run(rate).map(|()| true),
+        Command::Gray { hours, seed } => {
+            gray::print(gray::PRAIRIE, hours, seed);
+            gray::print(gray::PILA_VERDE, hours, seed);
+            Ok(true)
+        }
+        Command::Overload { seed } => overload::run(seed).map(|()| true),
         Command::Soak { seed, minutes, rate } => soak(seed, minutes, rate),
     }
 }
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -17,7 +17,7 @@
 use crate::{
     deployment::{Deployment, pila_verde, prairie},
     endpoint::EndpointFault,
-    fleet::{Fleet, status},
+    fleet::{DaemonProcess, Fleet, eligible, status},
     history::{self, Verdict},
     load::{self, Load},
     store::StoreFault,
@@ -102,7 +102,7 @@
     pub crashes: usize,
     /// Changes that were accepted.
     pub accepted: usize,
-    /// Whether all daemons had the last version in force in the end.
+    /// Whether all daemons had the last version in force and saw all endpoints in the end.
     pub converged: bool,
 }
 
@@ -305,8 +305,9 @@
 fn heal(fleet: &Fleet, accepted: usize) -> io::Result<bool> {
     let deadline = Instant::now() + HEALING;
     while Instant::now() < deadline {
-        let version = |it: &crate::fleet::DaemonProcess| status(it.local).ok()?["config_version"].as_u64();
-        if fleet.daemons.iter().all(|it| version(it) == Some(accepted as u64)) {
+        let version = |it: &DaemonProcess| status(it.local).ok()?["config_version"].as_u64();
+        let sees_all = |it: &DaemonProcess| eligible(it.local).is_ok_and(|seen| seen == fleet.endpoints.len());
+        if fleet.daemons.iter().all(|it| version(it) == Some(accepted as u64) && sees_all(it)) {
             return Ok(true);
         }
         thread::sleep(Duration::from_millis(100));
--- /dev/null
+++ b/standins/tests/membership.rs
@@ -0,0 +1,147 @@
+//! Configuration and membership while the store is away, and while daemons and endpoints go.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use standins::{
+    deployment::{prairie, repository_file},
+    fleet::{EndpointShape, Fleet, eligible, status},
+    history,
+    load::{self, Load},
+    store::StoreFault,
+};
+
+const SHAPE: EndpointShape = EndpointShape { slots: 4, service_ms: 5, cold_start_ms: 0 };
+
+fn fleet(daemons: usize) -> Fleet {
+    let mut fleet = Fleet::start().expect("a store");
+    for at in 0..daemons {
+        fleet.add_daemon(&format!("dc-{}", at % 2 + 1)).expect("a daemon");
+    }
+    for (at, service) in ["portal", "vouchers", "billing"].into_iter().enumerate() {
+        fleet.add_endpoint(service, at % daemons, SHAPE).expect("an endpoint");
+    }
+    fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+    fleet.wait_for_endpoints(3).expect("all endpoints are seen");
+    fleet
+}
+
+fn wait_until(what: &str, limit: Duration, holds: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < limit, "{what} within {limit:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+    start.elapsed()
+}
+
+#[test]
+fn a_daemon_that_restarts_while_the_store_is_away_gets_all_from_its_peers() {
+    let mut fleet = fleet(3);
+    fleet.control(fleet.store, &StoreFault { away: true, ..StoreFault::default() }).expect("the store is told");
+
+    fleet.restart_daemon(2).expect("the daemon starts");
+    let local = fleet.daemons[2].local;
+
+    wait_until("it serves", Duration::from_secs(20), || {
+        status(local).is_ok_and(|it| it["config_version"] == 1 && it["phase"] == "serving")
+            && eligible(local).is_ok_and(|it| it == 3)
+    });
+    fleet.close();
+}
+
+#[test]
+fn a_daemon_paused_past_every_timeout_still_accepts_callers_and_endpoints() {
+    let fleet = fleet(1);
+    let daemon = &fleet.daemons[0];
+
+    daemon.process.signal(Signal::STOP);
+    thread::sleep(Duration::from_secs(12));
+    daemon.process.signal(Signal::CONT);
+    thread::sleep(Duration::from_secs(5));
+
+    assert_eq!(eligible(daemon.local).expect("a new connection is accepted"), 3);
+    let answer = ureq::get(format!("http://{}/portal", daemon.callers)).call().expect("an answer");
+    assert_eq!(answer.status(), 200);
+    fleet.close();
+}
+
+#[test]
+fn a_change_whose_answer_is_lost_is_accepted_once() {
+    let fleet = fleet(1);
+    let targets = std::fs::read_to_string(repository_file("samples/prairie.toml")).expect("the sample");
+    let file = std::env::temp_dir().join(format!("jayreach-lost-{}.toml", std::process::id()));
+    std::fs::write(&file, targets.replace("importance = 30", "importance = 20")).expect("a file");
+    fleet.control(fleet.store, &StoreFault { lose_answers: 4, ..StoreFault::default() }).expect("the store is told");
+
+    let applied = fleet.apply(&file).expect("the change is accepted");
+
+    assert!(applied.contains("accepted as version 2"), "{applied}");
+    let audit = fleet.command(&["audit"]).expect("a command").1;
+    assert_eq!(audit.matches("~ class lookup").count(), 1, "{audit}");
+    std::fs::remove_file(file).expect("the file goes");
+    fleet.close();
+}
+
+#[test]
+fn a_leaving_or_killed_endpoint_gets_no_work_after_three_seconds_in_any_view() {
+    let mut fleet = fleet(3);
+    let seen_everywhere =
+        |fleet: &Fleet, count| fleet.daemons.iter().all(|it| eligible(it.local).is_ok_and(|seen| seen == count));
+
+    fleet.endpoints[0].process.signal(Signal::TERM);
+    let left = wait_until("leaving is seen", Duration::from_secs(10), || seen_everywhere(&fleet, 2));
+    fleet.endpoints[1].process.kill();
+    let gone = wait_until("silence is seen", Duration::from_secs(15), || seen_everywhere(&fleet, 1));
+
+    println!("leaving seen everywhere after {left:?}, silence after {gone:?}");
+    fleet.close();
+}
+
+#[test]
+fn a_killed_daemon_is_held_to_be_down_and_a_paused_one_refutes_it() {
+    let mut fleet = fleet(4);
+    let down = |at: usize| status(fleet.daemons[at].local).map_or(0, |it| it["daemons_down"].as_u64().unwrap_or(0));
+
+    fleet.daemons[3].process.signal(Signal::STOP);
+    wait_until("the pause is seen", Duration::from_secs(60), || (0..3).all(|it| down(it) == 1));
+    fleet.daemons[3].process.signal(Signal::CONT);
+    wait_until("the refutation is seen", Duration::from_secs(60), || (0..3).all(|it| down(it) == 0));
+    fleet.daemons[3].process.kill();
+
+    let down = |at: usize| status(fleet.daemons[at].local).map_or(0, |it| it["daemons_down"].as_u64().unwrap_or(0));
+    wait_until("the kill is seen", Duration::from_secs(60), || (0..3).all(|it| down(it) == 1));
+    fleet.close();
+}
+
+#[test]
+fn a_rolling_restart_of_all_daemons_under_load_cuts_nothing() {
+    let mut fleet = prairie().start(4).expect("the deployment");
+    let load = Load {
+        mix: prairie().mix,
+        rate: 100.0,
+        duration: Duration::from_secs(26),
+        seed: 11,
+        workers: 48,
+        asks_again: false,
+    };
+    let callers = fleet.callers();
+
+    let history = thread::scope(|scope| {
+        let running = scope.spawn(|| load::run(&load, &callers));
+        for at in 0..4 {
+            thread::sleep(Duration::from_secs(1));
+            assert!(fleet.daemons[at].process.stop(), "daemon {at} ends well");
+            fleet.restart_daemon(at).expect("the daemon starts");
+        }
+        running.join().expect("the load does not panic")
+    });
+
+    let verdict = history::check(&load.mix, &history, &fleet.runs().expect("the run logs"));
+    assert!(verdict.holds(), "{verdict}");
+    assert_eq!(verdict.unknown_but_ran, 0, "a run was cut off from its caller: {verdict}");
+    fleet.close();
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -5,7 +5,7 @@
 use jayreach::{
     decide::{
         Admission, Arrival, Candidate, Detector, Event, Evidence, FloorStanding, Gate, PathHealth, RetryBudget, Sample,
-        Standing, Tuning, baseline, choose, eligible, failure_level, level_rate,
+        Standing, Tuning, baseline, choose, eligible, enough_evidence, failure_level, level_rate,
     },
     rows::EndpointState,
     targets::Weighs,
@@ -185,7 +185,7 @@
 
     let worst = (0..5_000).map(|_| {
         let sample = if rng.random_bool(0.3) { Sample::Bad } else { Sample::Good };
-        detector.record(sample, 0.3, weighs)
+        detector.record(sample, 0.3, enough_evidence(weighs))
     });
 
     assert!(worst.into_iter().all(|it| it != Evidence::Bad));
