hyper serves the daemon's listeners; strangers can't end it

Cause: the new fuzz of the three listeners ended a daemon with one request, `Content-Length:`: tiny_http allocates what is left of a body when the request is dropped.

Ruled out: reading the body to its end before dropping it (the length is the caller's to state), forgetting the request (one file descriptor and thread each), a limit at the socket.

Change: hyper, one thread a listener, whole requests to the daemon's own threads; heads of 64 KB, bodies of 1 MB, 10 s for each, 4,096 connections a listener, half-closed connections answered. Rows are pushed to 3 peers, a new version to 6.

Tests: strangers (seeded fuzz of 150 requests on three listeners with a lookup between, 400 silent and stuck callers, clear refusals).

--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -5,14 +5,14 @@
     time::{Duration, Instant},
 };
 
+use hyper::Method;
 use serde::Serialize;
-use tiny_http::Request;
 
 use crate::{
     daemon::{
         Daemon,
         config::Config,
-        http::{BodyError, header, path, query, read_body, respond, respond_json},
+        http::{BodyError, Request, path, query, respond, respond_json},
         ingress::Order,
     },
     targets::{Class, Found},
@@ -62,7 +62,7 @@
 /// Finds out how much the request matters before a thread is given to it.
 pub(crate) fn accept(daemon: &Arc<Daemon>, req: Request) {
     let config = daemon.config.get();
-    let found = config.as_ref().and_then(|it| it.directory.route(path(req.url())));
+    let found = config.as_ref().and_then(|it| it.directory.route(path(req.target())));
     let share = found.map_or(0.5, |it| daemon.share(it.class.importance));
     let slot = Arc::new(Mutex::new(Some(req)));
     let taken = Arc::clone(&slot);
@@ -82,14 +82,14 @@
     }
 }
 
-fn answer(daemon: &Arc<Daemon>, mut req: Request) {
-    if path(req.url()).starts_with("/.jayreach/") {
+fn answer(daemon: &Arc<Daemon>, req: Request) {
+    if path(req.target()).starts_with("/.jayreach/") {
         return answer_own(daemon, req);
     }
     let Some(config) = daemon.config.get() else {
         return refuse(req, Refusal::NoConfiguration, None);
     };
-    match prepare(daemon, &config, &mut req) {
+    match prepare(daemon, &config, &req) {
         Ok(order) => run(daemon, &config, req, order),
         // A ticket rides on the refusal, so that the caller needs no call of its own for it.
         Err(Refusal::TicketNeeded) => refuse(req, Refusal::TicketNeeded, Some(daemon.home.issue(1).remove(0))),
@@ -107,26 +107,26 @@
     work: Work,
 }
 
-fn prepare(daemon: &Daemon, config: &Config, req: &mut Request) -> Result<Prepared, Refusal> {
+fn prepare(daemon: &Daemon, config: &Config, req: &Request) -> Result<Prepared, Refusal> {
     if daemon.leaving() {
         return Err(Refusal::ShuttingDown);
     }
     let arrived = Instant::now();
-    let path: Box<str> = path(req.url()).into();
+    let path: Box<str> = path(req.target()).into();
     let found = config.directory.route(&path).ok_or(Refusal::NoRoute)?;
     check_account(config, req, found)?;
     check_headers(req)?;
     let ticket = ticket(req, found.class)?;
     let lateness = lateness(req, found.class)?;
-    let body = read_body(req).map_err(|it| match it {
+    let body = req.body().map_err(|it| match it {
         BodyError::TooLarge => Refusal::TooLarge,
         BodyError::Broken => Refusal::BadRequest,
     })?;
     let work = Work {
         method: req.method().as_str().into(),
-        target: req.url().into(),
+        target: req.target().into(),
         headers: passed_on(req, found.public),
-        body,
+        body: body.to_vec(),
     };
     Ok(Prepared { path, deadline: arrived + lateness, ticket, work })
 }
@@ -135,7 +135,7 @@
     if found.public {
         return Ok(());
     }
-    let token = header(req, "Authorization").and_then(|it| it.strip_prefix("Bearer "));
+    let token = req.header("Authorization").and_then(|it| it.strip_prefix("Bearer "));
     match token {
         Some(it) if config.directory.has_account(it.trim()) => Ok(()),
         _ => Err(Refusal::UnknownAccount),
@@ -143,34 +143,37 @@
 }
 
 fn check_headers(req: &Request) -> Result<(), Refusal> {
-    let size: usize = req.headers().iter().map(|it| it.field.as_str().as_str().len() + it.value.as_str().len()).sum();
-    if size + req.url().len() > HEADERS_LIMIT { Err(Refusal::HeadersTooLarge) } else { Ok(()) }
+    if req.headers().values().any(|it| it.to_str().is_err()) {
+        return Err(Refusal::BadRequest);
+    }
+    let size: usize = req.headers().iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if size + req.target().len() > HEADERS_LIMIT { Err(Refusal::HeadersTooLarge) } else { Ok(()) }
 }
 
 fn ticket(req: &Request, class: &Class) -> Result<Option<Ticket>, Refusal> {
     if class.idempotent {
         return Ok(None);
     }
-    let text = header(req, "Jayreach-Ticket").ok_or(Refusal::TicketNeeded)?;
+    let text = req.header("Jayreach-Ticket").ok_or(Refusal::TicketNeeded)?;
     text.parse().map(Some).map_err(|_| Refusal::BadRequest)
 }
 
 /// The class's lateness; a caller may shorten it, never lengthen it.
 fn lateness(req: &Request, class: &Class) -> Result<Duration, Refusal> {
-    let Some(text) = header(req, "Jayreach-Timeout-Ms") else { return Ok(class.lateness) };
+    let Some(text) = req.header("Jayreach-Timeout-Ms") else { return Ok(class.lateness) };
     let millis = text.parse().map_err(|_| Refusal::BadRequest)?;
     Ok(class.lateness.min(Duration::from_millis(millis)))
 }
 
 fn passed_on(req: &Request, public: bool) -> Vec<Header> {
     let mut headers = Vec::new();
-    for it in req.headers() {
-        let name = it.field.as_str().as_str();
-        let ours = name.to_ascii_lowercase().starts_with("jayreach-");
+    for (name, value) in req.headers() {
+        let (name, Ok(value)) = (name.as_str(), value.to_str()) else { continue };
+        let ours = name.starts_with("jayreach-");
         // The token is between the caller and us.
-        let secret = !public && name.eq_ignore_ascii_case("authorization");
+        let secret = !public && name == "authorization";
         if !is_hop_header(name) && !ours && !secret {
-            headers.push(Header { name: name.into(), value: it.value.as_str().into() });
+            headers.push(Header { name: name.into(), value: value.into() });
         }
     }
     headers
@@ -239,7 +242,7 @@
 
 /// Refuses a request without saying "not run" of a ticket that may have run before.
 fn refuse_truly(req: Request, refusal: Refusal, may_have_run: impl Fn(&Ticket) -> bool) {
-    let ticket = header(&req, "Jayreach-Ticket").and_then(|it| it.parse::<Ticket>().ok());
+    let ticket = req.header("Jayreach-Ticket").and_then(|it| it.parse::<Ticket>().ok());
     match ticket {
         Some(ticket) if may_have_run(&ticket) => match describe(refusal).0 {
             503 => tell_doubt(req, 504, Doubt::TicketUsed),
@@ -289,9 +292,9 @@
 
 /// Answers the system's own paths.
 fn answer_own(daemon: &Arc<Daemon>, req: Request) {
-    let target: Box<str> = req.url().into();
+    let target: Box<str> = req.target().into();
     let path = path(&target);
-    let is_post = *req.method() == tiny_http::Method::Post;
+    let is_post = req.method() == Method::POST;
     if path == TICKETS_PATH && is_post {
         return issue(daemon, req, &target);
     }
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -1,38 +1,94 @@
-//! What the three listeners share: sockets, bodies, answers.
+//! What the three listeners share: sockets, requests, answers.
+//!
+//! `hyper` serves, in one thread a listener, and passes whole requests on to the daemon's own
+//! threads. Why not `tiny_http`: see CONTRIBUTING.md.
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener},
     sync::Arc,
-    thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Response,
+    body::{Bytes, Incoming},
+    http::request::Parts,
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, TcpKeepalive, Type};
-use tiny_http::{Header, Request, Response, Server};
+use tokio::{
+    net::TcpStream,
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot},
+    time::{sleep, timeout},
+};
 
 use crate::error::Error;
 
 /// The longest body of a request or an answer, in bytes.
 pub(crate) const BODY_LIMIT: usize = 1 << 20;
-/// How long a connection may be silent before it is dropped.
-const READ_TIMEOUT: Duration = Duration::from_secs(10);
-/// How often a listener is connected to; well below the read timeout.
-const KEEP_AWAKE: Duration = Duration::from_secs(3);
-/// How long a write may be stuck before the connection is dropped.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How many bytes of a request's head are taken in at most.
+const HEAD_LIMIT: usize = 64 * 1024;
+/// How long a request's head may take to arrive, the wait for it included.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a whole body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long written bytes may go unacknowledged before the connection is dropped.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a connection may be idle before the other side is probed.
+const KEEPALIVE: Duration = Duration::from_secs(30);
+/// How many connections a listener has open at most; more wait to be accepted.
+const CONNECTIONS: usize = 4096;
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
+/// The pause after `accept` failed, for instance for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a body is not there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyError {
+    /// It is longer than `BODY_LIMIT`.
+    TooLarge,
+    /// It ended early, came too slowly or was malformed.
+    Broken,
+}
+
+/// A request, to be answered once with [`respond`]. One that is dropped closes its connection.
+pub(crate) struct Request {
+    head: Parts,
+    body: Result<Bytes, BodyError>,
+    reply: oneshot::Sender<Response<Full<Bytes>>>,
+}
 
-/// A listening socket. `tiny_http` has no timeouts, so the socket hands them down to the accepted
-/// ones; but its own `accept` obeys the read timeout as well, and a server whose `accept` has
-/// failed once takes no new connections. [`Listener::keep_awake`] connects often enough that this
-/// does not happen; after a pause of the whole process it does, and [`Listener::serve`] goes on
-/// with a second server on the same socket.
+impl Request {
+    pub(crate) fn method(&self) -> &Method {
+        &self.head.method
+    }
+
+    /// Path and query.
+    pub(crate) fn target(&self) -> &str {
+        self.head.uri.path_and_query().map_or("/", |it| it.as_str())
+    }
+
+    pub(crate) fn headers(&self) -> &HeaderMap {
+        &self.head.headers
+    }
+
+    /// The value of a header, if it is text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    pub(crate) fn body(&self) -> Result<&[u8], BodyError> {
+        self.body.as_deref().map_err(|it| *it)
+    }
+}
+
+/// A listening socket.
 pub(crate) struct Listener {
-    address: SocketAddr,
     socket: TcpListener,
 }
 
@@ -40,113 +96,96 @@
     /// Listens on `address`.
     pub(crate) fn open(address: SocketAddr) -> Result<Self, Error> {
         let socket = open(address).map_err(|it| Error::io(format!("listening on {address}"), it))?;
-        Ok(Self { address, socket: socket.into() })
-    }
-
-    /// Passes requests to `accept`, for ever.
-    pub(crate) fn serve(self: Arc<Self>, accept: impl Fn(Request) + Clone + Send + 'static) {
-        let server = match self.server() {
-            Ok(it) => it,
-            Err(error) => {
-                log::error!("no server on {}: {error}", self.address);
-                std::process::abort();
-            }
-        };
-        loop {
-            match server.recv() {
-                Ok(req) => accept(req),
-                Err(error) => {
-                    log::warn!("accepting on {} failed and begins anew: {error}", self.address);
-                    metrics::counter!("jayreach_listeners_renewed_total").increment(1);
-                    // This thread goes on with the connections that the first server has.
-                    let (next, accept) = (Arc::clone(&self), accept.clone());
-                    thread::spawn(move || next.serve(accept));
-                }
-            }
-        }
-    }
-
-    /// Connects now and then, for ever, so that `accept` does not time out for want of callers.
-    pub(crate) fn keep_awake(&self) {
-        loop {
-            if let Err(error) = TcpStream::connect_timeout(&self.address, KEEP_AWAKE) {
-                log::debug!("connecting to {}: {error}", self.address);
-            }
-            thread::sleep(KEEP_AWAKE);
-        }
+        Ok(Self { socket: socket.into() })
     }
 
-    fn server(&self) -> io::Result<Server> {
-        Server::from_listener(self.socket.try_clone()?, None).map_err(io::Error::other)
+    /// Passes whole requests to `accept`, which must not wait, for ever.
+    pub(crate) fn serve(self, accept: impl Fn(Request) + Send + Sync + 'static) -> io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(serve(self.socket, Arc::new(accept)))
     }
 }
 
 fn open(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    // Accepted sockets take these over.
     socket.set_tcp_nodelay(true)?;
-    socket.set_read_timeout(Some(READ_TIMEOUT))?;
-    socket.set_write_timeout(Some(WRITE_TIMEOUT))?;
     socket.set_tcp_user_timeout(Some(WRITE_TIMEOUT))?;
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(READ_TIMEOUT))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE))?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket)
 }
 
-/// Why a body was not read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum BodyError {
-    /// It is longer than `BODY_LIMIT`.
-    TooLarge,
-    /// It ended early, came too slowly or was malformed.
-    Broken,
-}
-
-/// Reads the whole body.
-pub(crate) fn read_body(req: &mut Request) -> Result<Vec<u8>, BodyError> {
-    let length = req.body_length();
-    if length.is_some_and(|it| it > BODY_LIMIT) {
-        return Err(BodyError::TooLarge);
-    }
-    let deadline = Instant::now() + BODY_TIMEOUT;
-    let mut body = Vec::with_capacity(length.unwrap_or(0));
-    let mut buf = [0; 16 * 1024];
+async fn serve(socket: TcpListener, accept: Arc<impl Fn(Request) + Send + Sync + 'static>) -> io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(socket)?;
+    let free = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
-        let count = req.as_reader().read(&mut buf).map_err(|_| BodyError::Broken)?;
-        if count == 0 {
-            break;
-        }
-        body.extend_from_slice(&buf[..count]);
-        if body.len() > BODY_LIMIT {
-            return Err(BodyError::TooLarge);
-        }
-        if Instant::now() > deadline {
-            return Err(BodyError::Broken);
+        let permit = Arc::clone(&free).acquire_owned().await.map_err(io::Error::other)?;
+        match listener.accept().await {
+            Ok((stream, _)) => _ = tokio::spawn(connection(stream, Arc::clone(&accept), permit)),
+            Err(error) => {
+                log::debug!("accepting a connection: {error}");
+                metrics::counter!("jayreach_accepts_failed_total").increment(1);
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
-    match length {
-        Some(length) if body.len() != length => Err(BodyError::Broken),
-        _ => Ok(body),
+}
+
+async fn connection(
+    stream: TcpStream,
+    accept: Arc<impl Fn(Request) + Send + Sync + 'static>,
+    permit: OwnedSemaphorePermit,
+) {
+    let service = service_fn(|req| answer(req, Arc::clone(&accept)));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT)
+        .half_close(true)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("a connection ended: {error}");
+        metrics::counter!("jayreach_connections_broken_total").increment(1);
     }
+    drop(permit);
+}
+
+/// Takes the body in, passes the request on, and waits for its answer.
+async fn answer(
+    req: hyper::Request<Incoming>,
+    accept: Arc<impl Fn(Request)>,
+) -> Result<Response<Full<Bytes>>, oneshot::error::RecvError> {
+    let (head, body) = req.into_parts();
+    let body = take_body(body).await;
+    let (reply, answered) = oneshot::channel();
+    accept(Request { head, body, reply });
+    answered.await
 }
 
-/// The value of a header.
-pub(crate) fn header<'a>(req: &'a Request, name: &'static str) -> Option<&'a str> {
-    let found = req.headers().iter().find(|it| it.field.as_str().as_str().eq_ignore_ascii_case(name))?;
-    Some(found.value.as_str())
+async fn take_body(body: Incoming) -> Result<Bytes, BodyError> {
+    match timeout(BODY_TIMEOUT, Limited::new(body, BODY_LIMIT).collect()).await {
+        Ok(Ok(it)) => Ok(it.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(_)) | Err(_) => Err(BodyError::Broken),
+    }
 }
 
 /// Answers a request; a caller that is gone is its own matter.
 pub(crate) fn respond(req: Request, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
-    let mut resp = Response::from_data(body).with_status_code(status);
+    let mut resp = Response::builder().status(status);
     for (name, value) in headers {
-        if let Ok(it) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
-            resp.add_header(it);
-        }
+        resp = resp.header(*name, *value);
     }
-    if let Err(error) = req.respond(resp) {
-        log::debug!("an answer did not reach its caller: {error}");
+    let Ok(resp) = resp.body(Full::new(Bytes::from(body))) else {
+        log::warn!("an answer with status {status} can't be written");
+        return;
+    };
+    if req.reply.send(resp).is_err() {
         metrics::counter!("jayreach_answers_lost_total").increment(1);
     }
 }
--- a/src/daemon/local.rs
+++ b/src/daemon/local.rs
@@ -5,14 +5,14 @@
     time::Instant,
 };
 
+use hyper::Method;
 use serde::{Deserialize, Serialize};
-use tiny_http::{Method, Request};
 
 use crate::{
     daemon::{
         Announcement, Daemon,
         client::Connection,
-        http::{path, read_body, respond, respond_json},
+        http::{Request, path, respond, respond_json},
         peers::{CONTROL_TIMEOUT, PeerCall},
         view::ServiceCount,
     },
@@ -76,17 +76,17 @@
 }
 
 fn answer(daemon: &Arc<Daemon>, req: Request) {
-    let target: Box<str> = req.url().into();
-    match (req.method(), path(&target)) {
-        (Method::Post, "/announce") => announce(daemon, req),
-        (Method::Get, "/status") => status(daemon, req),
-        (Method::Get, "/metrics") => {
+    let target: Box<str> = req.target().into();
+    match (req.method().clone(), path(&target)) {
+        (Method::POST, "/announce") => announce(daemon, req),
+        (Method::GET, "/status") => status(daemon, req),
+        (Method::GET, "/metrics") => {
             let text = daemon.metrics.render().into_bytes();
             respond(req, 200, &[("Content-Type", "text/plain; version=0.0.4")], text);
         }
-        (Method::Get, "/in-force") => in_force(daemon, req, &target),
-        (Method::Post, "/drain") => drain(daemon, req),
-        (Method::Post, "/tickets") => {
+        (Method::GET, "/in-force") => in_force(daemon, req, &target),
+        (Method::POST, "/drain") => drain(daemon, req),
+        (Method::POST, "/tickets") => {
             let ticket = daemon.home.issue(1).remove(0);
             respond(req, 200, &[], ticket.to_string().into_bytes());
         }
@@ -94,8 +94,8 @@
     }
 }
 
-fn announce(daemon: &Arc<Daemon>, mut req: Request) {
-    let parsed = read_body(&mut req).ok().map(|it| serde_json::from_slice::<Announcement>(&it));
+fn announce(daemon: &Arc<Daemon>, req: Request) {
+    let parsed = req.body().ok().map(serde_json::from_slice::<Announcement>);
     match parsed {
         Some(Ok(it)) if it.slots == 0 => refuse(req, "`slots` must be 1 or more".into()),
         Some(Ok(it)) => {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -34,11 +34,9 @@
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
-use tiny_http::Request;
 
 pub use guard::{AnnouncedState, Announcement};
 pub use local::InForceCount;
-pub use spread::FANOUT;
 
 use crate::{
     daemon::{
@@ -46,7 +44,7 @@
         config::ConfigCell,
         desk::HomeDesk,
         guard::{GuardDesk, Measure},
-        http::Listener,
+        http::{Listener, Request},
         peers::Peers,
         phase::{Phase, PhaseCell, PhaseEvent},
         pool::Pool,
@@ -169,14 +167,14 @@
     result.expect("a daemon can start its first threads");
 }
 
-/// Serves a listener from threads of its own.
+/// Serves a listener from a thread of its own.
 fn serve(name: &'static str, daemon: &Arc<Daemon>, listener: Listener, accept: fn(&Arc<Daemon>, Request)) {
-    let listener = Arc::new(listener);
-    let awake = Arc::clone(&listener);
-    spawn("keep-awake", daemon, move |_| awake.keep_awake());
     spawn(name, daemon, move |it| {
         let daemon = Arc::clone(it);
-        listener.serve(move |req| accept(&daemon, req));
+        if let Err(error) = listener.serve(move |req| accept(&daemon, req)) {
+            log::error!("the listener for {name} can't be served: {error}");
+            std::process::abort();
+        }
     });
 }
 
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -4,14 +4,13 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use subtle::ConstantTimeEq as _;
-use tiny_http::Request;
 use ureq::http;
 
 use crate::{
     daemon::{
         Daemon,
         client::{Client, Connection},
-        http::{header, path, read_body, respond},
+        http::{Request, path, respond},
     },
     rows::{Compare, Compared, DaemonId, Deliver, Delivered, Push},
     targets::{Digest, Importance},
@@ -191,10 +190,10 @@
         metrics::counter!("jayreach_peer_refusals_total").increment(1);
         return respond(req, 403, &[], b"wrong or missing peer key".to_vec());
     }
-    let Some(call) = PeerCall::from_path(path(req.url())) else {
+    let Some(call) = PeerCall::from_path(path(req.target())) else {
         return respond(req, 404, &[], Vec::new());
     };
-    let importance = header(&req, IMPORTANCE_HEADER).and_then(|it| it.parse().ok()).unwrap_or(0);
+    let importance = req.header(IMPORTANCE_HEADER).and_then(|it| it.parse().ok()).unwrap_or(0);
     let (pool, share) =
         if call.works() { (&daemon.pools.work, daemon.share(importance)) } else { (&daemon.pools.control, 1.0) };
     let slot = Arc::new(std::sync::Mutex::new(Some(req)));
@@ -214,15 +213,13 @@
 }
 
 fn key_fits(req: &Request, key: &str) -> bool {
-    let given = header(req, PEER_KEY_HEADER).unwrap_or("");
+    let given = req.header(PEER_KEY_HEADER).unwrap_or("");
     given.as_bytes().ct_eq(key.as_bytes()).into()
 }
 
-fn answer(daemon: &Arc<Daemon>, call: PeerCall, mut req: Request) {
-    let Ok(body) = read_body(&mut req) else {
-        return respond(req, 400, &[], Vec::new());
-    };
-    match handle(daemon, call, &body) {
+fn answer(daemon: &Arc<Daemon>, call: PeerCall, req: Request) {
+    let answer = req.body().ok().and_then(|body| handle(daemon, call, body));
+    match answer {
         Some(bytes) => respond(req, 200, &[], bytes),
         None => respond(req, 400, &[], Vec::new()),
     }
--- a/src/daemon/spread.rs
+++ b/src/daemon/spread.rs
@@ -20,8 +20,11 @@
     wire::encode,
 };
 
-/// To how many peers news is pushed; chosen by measurement (docs/CAPACITY.md, rows).
-pub const FANOUT: usize = 4;
+/// To how many peers rows are pushed; chosen by measurement (docs/CAPACITY.md, rows).
+const ROWS_FANOUT: usize = 3;
+/// To how many peers a new version is pushed: rarer and smaller than rows, and due within 6 s
+/// everywhere (letter 1).
+const VERSION_FANOUT: usize = 6;
 /// How long news is gathered before it is pushed.
 const GATHER: Duration = Duration::from_millis(20);
 
@@ -42,9 +45,10 @@
 }
 
 fn push(daemon: &Arc<Daemon>, rows: Vec<Row>) {
+    let fanout = if rows.is_empty() { VERSION_FANOUT } else { ROWS_FANOUT };
     let peers: Vec<_> = {
         let table = lock(&daemon.table);
-        table.live().map(|it| it.peers).sample(&mut rand::rng(), FANOUT)
+        table.live().map(|it| it.peers).sample(&mut rand::rng(), fanout)
     };
     let push = Push { rows, version: daemon.config.version(), sender: daemon.settings.peers };
     let bytes = Arc::new(encode(&push));
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,7 +6,9 @@
 use standins::{
     bench, demo,
     endpoint::{self, EndpointOptions},
-    gray, overload,
+    gray,
+    idle::{self, IdleOptions},
+    overload, slopes,
     soak::{self, FAULTS, SoakOptions},
     store,
 };
@@ -80,6 +82,25 @@
         #[bpaf(argument("SEED"), fallback(1))]
         seed: u64,
     },
+    /// Measure what one unit of each thing costs
+    #[bpaf(command)]
+    Slopes {
+        /// Seeds the random parts
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
+    /// Measure what an idle fleet of daemons spends, and how fast it sees changes
+    #[bpaf(command)]
+    Idle {
+        /// How many daemons
+        #[bpaf(argument("COUNT"), fallback(24))]
+        daemons: usize,
+        /// How many changes of configuration
+        #[bpaf(argument("COUNT"), fallback(20))]
+        changes: usize,
+        /// Use a configuration of the size of letter 1
+        large: bool,
+    },
     /// Keep a deployment under load and faults, and end with a verdict
     #[bpaf(command)]
     Soak {
@@ -125,6 +146,11 @@
             Ok(true)
         }
         Command::Overload { seed } => overload::run(seed).map(|()| true),
+        Command::Slopes { seed } => {
+            slopes::run(seed);
+            Ok(true)
+        }
+        Command::Idle { daemons, changes, large } => idle::run(IdleOptions { daemons, changes, large }).map(|()| true),
         Command::Soak { seed, minutes, rate } => soak(seed, minutes, rate),
     }
 }
--- /dev/null
+++ b/standins/tests/strangers.rs
@@ -0,0 +1,166 @@
+//! Bad input and strangers on all three listeners: a clear refusal, no crash, bounded memory, and
+//! other callers unharmed.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use standins::{
+    deployment::repository_file,
+    fleet::{EndpointShape, Fleet},
+    proc::usage,
+};
+
+const SHAPE: EndpointShape = EndpointShape { slots: 4, service_ms: 2, cold_start_ms: 0 };
+/// What a daemon's memory may grow by under bad input, in bytes.
+const GROWTH_LIMIT: u64 = 64 << 20;
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::start().expect("a store");
+    fleet.add_daemon("dc-1").expect("a daemon");
+    fleet.add_endpoint("portal", 0, SHAPE).expect("an endpoint");
+    fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+    fleet.wait_for_endpoints(1).expect("the endpoint is seen");
+    fleet
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_millis(300))).expect("a timeout");
+    stream
+}
+
+/// Sends bytes, closes one direction, and returns what comes back, if anything.
+fn send(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = connect(address);
+    // The other side may hang up in the middle.
+    _ = stream.write_all(bytes);
+    _ = stream.shutdown(Shutdown::Write);
+    let mut buf = Vec::new();
+    let mut chunk = [0; 4096];
+    while let Ok(count) = stream.read(&mut chunk) {
+        if count == 0 || buf.len() > 65_536 {
+            break;
+        }
+        buf.extend_from_slice(&chunk[..count]);
+    }
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+fn lookup_works(fleet: &Fleet) -> bool {
+    let answer = ureq::get(format!("http://{}/portal", fleet.callers()[0])).call();
+    answer.is_ok_and(|it| it.status() == 200)
+}
+
+fn request() -> impl Strategy<Value = Vec<u8>> {
+    let line = prop_oneof![
+        Just("GET /portal HTTP/1.1".to_owned()),
+        Just("POST /peer/dispatch HTTP/1.1".to_owned()),
+        Just("POST /announce HTTP/1.1".to_owned()),
+        Just("POST /.jayreach/tickets?count=99999999999999999999 HTTP/1.1".to_owned()),
+        Just("GET /.jayreach/tickets/vm-1.1.99999999999999999999 HTTP/1.1".to_owned()),
+        "[A-Z]{0,8} [ -~]{0,60} HTTP/[0-9]\\.[0-9]",
+    ];
+    let header = prop_oneof![
+        Just("Content-Length: 5".to_owned()),
+        Just("Content-Length: -1".to_owned()),
+        Just("Content-Length: 99999999999".to_owned()),
+        Just("Transfer-Encoding: chunked".to_owned()),
+        Just("Jayreach-Timeout-Ms: -3".to_owned()),
+        Just("Jayreach-Peer-Key: a-key-for-stand-ins-only".to_owned()),
+        Just("Expect: 100-continue".to_owned()),
+        "[A-Za-z-]{1,20}: [ -~]{0,200}",
+    ];
+    let body = prop::collection::vec(any::<u8>(), 0..200);
+    let whole = (line, prop::collection::vec(header, 0..6), body).prop_map(|(line, headers, body)| {
+        let head = headers.into_iter().fold(line, |head, it| head + "\r\n" + &it) + "\r\n\r\n";
+        [head.into_bytes(), body].concat()
+    });
+    prop_oneof![3 => whole, 1 => prop::collection::vec(any::<u8>(), 0..400)]
+}
+
+#[test]
+fn malformed_requests_end_nothing_and_take_no_memory() {
+    let mut fleet = fleet();
+    let daemon = &fleet.daemons[0];
+    let listeners = [daemon.callers, daemon.peers, daemon.local];
+    let before = usage(daemon.process.id()).expect("usage").resident;
+    let config = Config { cases: 150, failure_persistence: None, max_shrink_iters: 0, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
+
+    let result = runner.run(&(0..3_usize, request()), |(listener, bytes)| {
+        send(listeners[listener], &bytes);
+        prop_assert!(lookup_works(&fleet));
+        Ok(())
+    });
+
+    result.expect("other callers are unharmed");
+    let after = usage(fleet.daemons[0].process.id()).expect("usage").resident;
+    assert!(after < before + GROWTH_LIMIT, "{before} to {after} bytes");
+    assert!(!fleet.daemons[0].process.ended());
+    fleet.close();
+}
+
+#[test]
+fn slow_and_silent_callers_do_not_keep_others_out() {
+    let fleet = fleet();
+    let caller = fleet.callers()[0];
+
+    let silent: Vec<_> = (0..300).map(|_| connect(caller)).collect();
+    let stuck: Vec<_> = (0..100)
+        .map(|_| {
+            let mut stream = connect(caller);
+            stream.write_all(b"POST /portal HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf").expect("a write");
+            stream
+        })
+        .collect();
+
+    assert!((0..20).all(|_| lookup_works(&fleet)));
+    thread::sleep(Duration::from_secs(12));
+    let dropped = silent.iter().chain(&stuck).filter(|it| is_closed(it)).count();
+    assert_eq!(dropped, 400, "silent callers are dropped in time");
+    fleet.close();
+}
+
+fn is_closed(mut stream: &TcpStream) -> bool {
+    let mut buf = [0; 4096];
+    loop {
+        match stream.read(&mut buf) {
+            Ok(0) => return true,
+            Ok(_) => (),
+            Err(error) => return error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+#[test]
+fn each_refusal_is_clear() {
+    let fleet = fleet();
+    let daemon = &fleet.daemons[0];
+    let large = format!("GET /portal HTTP/1.1\r\nX-Large: {}\r\n\r\n", "x".repeat(40_000));
+
+    let no_key = send(daemon.peers, b"POST /peer/dispatch HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    let bad_message = send(
+        daemon.peers,
+        b"POST /peer/dispatch HTTP/1.1\r\nJayreach-Peer-Key: a-key-for-stand-ins-only\r\nContent-Length: 3\r\n\r\nabc",
+    );
+    let bad_announcement = send(daemon.local, b"POST /announce HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}");
+    let large = send(daemon.callers, large.as_bytes());
+    let half = send(daemon.callers, b"POST /portal HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf");
+    let timeout = send(daemon.callers, b"GET /portal HTTP/1.1\r\nJayreach-Timeout-Ms: soon\r\n\r\n");
+
+    assert!(no_key.starts_with("HTTP/1.1 403"), "{no_key}");
+    assert!(bad_message.starts_with("HTTP/1.1 400"), "{bad_message}");
+    assert!(bad_announcement.contains("missing field"), "{bad_announcement}");
+    assert!(large.starts_with("HTTP/1.1 431") && large.contains("not-run"), "{large}");
+    assert!(half.starts_with("HTTP/1.1 400") && half.contains("not-run"), "{half}");
+    assert!(timeout.starts_with("HTTP/1.1 400") && timeout.contains("not-run"), "{timeout}");
+    fleet.close();
+}
