--- a/src/cmd/audit.rs
+++ b/src/cmd/audit.rs
@@ -18,6 +18,9 @@
             let Change { id, who, when, why } = &it.change;
             println!("version {}  change {id:016x}  at {when} s since 1970  by {who}: {why}", it.version);
             it.differences.iter().for_each(|it| println!("  {it}"));
+            if it.omitted > 0 {
+                println!("  and {} more", it.omitted);
+            }
         }
         Ok(())
     }
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -5,7 +5,7 @@
 use crate::{
     error::Error,
     platform::ROOT_KEY,
-    targets::{Digest, Directory, Root, Version, decode_object, digest},
+    targets::{Digest, Directory, PartRef, Root, Version, decode_object, digest},
     util::lock,
 };
 
@@ -45,30 +45,54 @@
         self.get().map_or(0, |it| it.root.version)
     }
 
+    /// Whether a newer one is being fetched.
+    pub(crate) fn is_fetching(&self) -> bool {
+        self.fetching.try_lock().is_err()
+    }
+
     /// Puts a root in force if it is newer, fetching the parts that are not here yet.
+    ///
+    /// `fetch` is asked for all missing parts and answers with the first few of them, in order.
     pub(crate) fn adopt(
         &self,
         root_bytes: Vec<u8>,
-        fetch: impl Fn(&Digest) -> Option<Vec<u8>>,
+        fetch: impl Fn(&[PartRef]) -> Option<Vec<Vec<u8>>>,
     ) -> Result<Option<Arc<Config>>, Error> {
         let root: Root = decode_object(ROOT_KEY, &root_bytes)?;
         let _fetching = lock(&self.fetching);
-        let current = self.get();
         if root.version <= self.version() {
             return Ok(None);
         }
-        let mut parts = Vec::with_capacity(root.parts.len());
-        for it in &root.parts {
-            let held = current.as_ref().and_then(|config| config.part(&it.0));
-            let part = held.or_else(|| fetch(&it.0).filter(|bytes| digest(bytes) == it.0).map(Arc::new));
-            parts.push(part.ok_or_else(|| missing(&it.0))?);
-        }
+        let parts = self.gather(&root, fetch)?;
         let directory = Directory::build(ROOT_KEY, &parts)?;
         let config = Arc::new(Config { root, root_bytes, directory, parts });
         self.put_in_force(&config);
         Ok(Some(config))
     }
 
+    fn gather(
+        &self,
+        root: &Root,
+        fetch: impl Fn(&[PartRef]) -> Option<Vec<Vec<u8>>>,
+    ) -> Result<Vec<Arc<Vec<u8>>>, Error> {
+        let current = self.get();
+        let held = |it: &PartRef| current.as_ref().and_then(|config| config.part(&it.0));
+        let missing: Vec<_> = root.parts.iter().filter(|it| held(it).is_none()).copied().collect();
+        let mut fetched = Vec::with_capacity(missing.len());
+        while fetched.len() < missing.len() {
+            let wanted = &missing[fetched.len()..];
+            let got = fetch(wanted).unwrap_or_default();
+            let good = got.into_iter().zip(wanted).take_while(|(bytes, it)| digest(bytes) == it.0);
+            let before = fetched.len();
+            fetched.extend(good.map(|(bytes, _)| Arc::new(bytes)));
+            if fetched.len() == before {
+                return Err(missing_part(&wanted[0].0));
+            }
+        }
+        let mut fetched = fetched.into_iter();
+        Ok(root.parts.iter().filter_map(|it| held(it).or_else(|| fetched.next())).collect())
+    }
+
     fn put_in_force(&self, config: &Arc<Config>) {
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         let before = current.as_ref().map_or(0, |it| it.root.version);
@@ -77,7 +101,7 @@
     }
 }
 
-fn missing(digest: &Digest) -> Error {
+fn missing_part(digest: &Digest) -> Error {
     let context = format!("{ROOT_KEY}, part {}", crate::util::hex(digest));
     Error::Corrupt { context: context.into(), message: "nobody had this part".into() }
 }
--- a/src/daemon/guard.rs
+++ b/src/daemon/guard.rs
@@ -395,7 +395,7 @@
     let Some(req) = request(dispatch, left) else {
         return Called::NotSent(Refusal::BadRequest);
     };
-    let connection = if dispatch.leg.is_some() { Connection::Fresh } else { Connection::Kept };
+    let connection = if dispatch.retry || dispatch.leg.is_some() { Connection::Fresh } else { Connection::Kept };
     match client.call(req, connection, left) {
         Ok(reply) => Called::Answered(reply),
         Err(silence) => Called::Silent(silence),
--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -127,6 +127,7 @@
             endpoint: target.row.id.clone(),
             importance: order.importance,
             budget_ms: budget.as_millis() as u64,
+            retry: connection == Connection::Fresh,
             leg,
             work: work.clone(),
         };
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_bytes::ByteBuf;
 use subtle::ConstantTimeEq as _;
 use ureq::http;
 
@@ -10,10 +11,11 @@
     daemon::{
         Daemon,
         client::{Client, Connection},
+        config::Config,
         http::{Request, path, respond},
     },
     rows::{Compare, Compared, DaemonId, Deliver, Delivered, Push},
-    targets::{Digest, Importance},
+    targets::{Importance, PartRef},
     ticket::Silence,
     wire::{
         Dispatch, DispatchReply, Forward, InForce, Outcome, PEER_KEY_HEADER, Revoke, RevokeReply, TicketQuery,
@@ -28,6 +30,9 @@
 /// How long an asked helper waits for the daemon it probes.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How many bytes of parts one answer holds, unless a single part is larger.
+const PARTS_LIMIT: usize = 512 * 1024;
+
 /// What a peer can be called for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -52,8 +57,8 @@
     Probe,
     /// Nothing to the coded root.
     Root,
-    /// `WantPart` to the coded part.
-    Part,
+    /// `WantParts` to `GotParts`.
+    Parts,
     /// Nothing to `InForce`.
     InForce,
 }
@@ -69,7 +74,7 @@
     (PeerCall::Push, "/peer/push"),
     (PeerCall::Probe, "/peer/probe"),
     (PeerCall::Root, "/peer/root"),
-    (PeerCall::Part, "/peer/part"),
+    (PeerCall::Parts, "/peer/parts"),
     (PeerCall::InForce, "/peer/in-force"),
 ];
 
@@ -101,11 +106,16 @@
     pub(crate) answered: bool,
 }
 
-/// Names a part of the configuration.
+/// Asks for parts of the configuration.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct WantParts {
+    pub(crate) parts: Vec<PartRef>,
+}
+
+/// The first few of the parts that were asked for, in order.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct WantPart {
-    #[serde(with = "serde_bytes")]
-    pub(crate) digest: Digest,
+pub(crate) struct GotParts {
+    pub(crate) parts: Vec<ByteBuf>,
 }
 
 /// Calls to other daemons.
@@ -266,14 +276,29 @@
             Some(encode(&Probed { answered: daemon.answers(it.address, PROBE_TIMEOUT) }))
         }
         PeerCall::Root => Some(daemon.config.get()?.root_bytes.clone()),
-        PeerCall::Part => {
-            let it: WantPart = decode(body).ok()?;
-            Some(daemon.config.get()?.part(&it.digest)?.to_vec())
+        PeerCall::Parts => {
+            let it: WantParts = decode(body).ok()?;
+            Some(encode(&got_parts(&*daemon.config.get()?, &it)))
         }
         PeerCall::InForce => Some(encode(&InForce { version: daemon.config.version() })),
     }
 }
 
+/// As many of the wanted parts as fit into one answer, but one at least.
+fn got_parts(config: &Config, want: &WantParts) -> GotParts {
+    let mut got = GotParts { parts: Vec::new() };
+    let mut size = 0;
+    for it in &want.parts {
+        let Some(part) = config.part(&it.0) else { break };
+        size += part.len();
+        if size > PARTS_LIMIT && !got.parts.is_empty() {
+            break;
+        }
+        got.parts.push(ByteBuf::from(part.to_vec()));
+    }
+    got
+}
+
 /// A daemon's address in the table.
 pub(crate) fn address_of(daemon: &Daemon, id: &DaemonId) -> Option<SocketAddr> {
     let table = crate::util::lock(&daemon.table);
--- a/src/daemon/spread.rs
+++ b/src/daemon/spread.rs
@@ -27,16 +27,30 @@
 const VERSION_FANOUT: usize = 6;
 /// How long news is gathered before it is pushed.
 const GATHER: Duration = Duration::from_millis(20);
+/// The least time between two pushes. A single change goes out at once; when many daemons and
+/// endpoints start together, each row would be pushed for each of its changes.
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
+/// How many rows one push holds at most; well below the limit of a body.
+const ROWS_PER_PUSH: usize = 500;
 
 /// Pushes news as it comes.
 pub(crate) fn run(daemon: &Arc<Daemon>, rx: &Receiver<Vec<Row>>) {
+    let mut last = Instant::now();
     while let Ok(mut rows) = rx.recv() {
-        thread::sleep(GATHER);
+        thread::sleep(GATHER.max(MIN_INTERVAL.saturating_sub(last.elapsed())));
         rows.extend(rx.try_iter().flatten());
-        push(daemon, newest(rows));
+        last = Instant::now();
+        for chunk in chunks(&newest(rows)) {
+            push(daemon, chunk.to_vec());
+        }
     }
 }
 
+/// Cuts rows into pushes; news without rows, a new version, is one push as well.
+fn chunks(rows: &[Row]) -> Vec<&[Row]> {
+    if rows.is_empty() { vec![rows] } else { rows.chunks(ROWS_PER_PUSH).collect() }
+}
+
 /// Keeps the newest of each daemon's rows.
 fn newest(mut rows: Vec<Row>) -> Vec<Row> {
     rows.sort_by(|a, b| (&a.daemon, b.stamp).cmp(&(&b.daemon, a.stamp)));
--- a/src/daemon/watcher.rs
+++ b/src/daemon/watcher.rs
@@ -11,17 +11,19 @@
 };
 
 use rand::RngExt as _;
+use serde_bytes::ByteBuf;
 
 use crate::{
     daemon::{
         Daemon,
         client::Connection,
-        peers::{CONTROL_TIMEOUT, PeerCall, WantPart},
+        peers::{CONTROL_TIMEOUT, GotParts, PeerCall, WantParts},
         phase::PhaseEvent,
     },
     platform::{Expect, ObjectVersion, ROOT_KEY, part_key, presence_key},
-    targets::Digest,
+    targets::PartRef,
     util::{lock, stable_hash},
+    wire::{decode, encode},
 };
 
 /// How many daemons of a data centre wait at the store.
@@ -32,6 +34,9 @@
 const LOOK: Duration = Duration::from_secs(1);
 /// How often a daemon that does not wait reads the root all the same.
 const BACKSTOP: Duration = Duration::from_secs(300);
+/// How long a daemon without a configuration waits for a peer that has one before it reads the
+/// store itself: the watchers' parts reach the fleet sooner than all daemons could read them.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// The first and the longest pause after the store failed.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
 
@@ -41,13 +46,14 @@
     let mut backoff = BACKOFF.0;
     let mut read_at = Instant::now();
     loop {
-        let without = daemon.config.version() == 0;
-        let due = without || read_at.elapsed() >= BACKSTOP.mul_f64(jitter());
-        if !due && !is_watcher(daemon) {
+        let watches = is_watcher(daemon);
+        let patience = if daemon.config.version() == 0 { PATIENCE } else { BACKSTOP };
+        let due = read_at.elapsed() >= patience.mul_f64(jitter());
+        if !due && !watches {
             thread::sleep(LOOK);
             continue;
         }
-        let wait = if due && !without { Duration::ZERO } else { WATCH };
+        let wait = if watches { WATCH } else { Duration::ZERO };
         read_at = Instant::now();
         match daemon.platform.watch(ROOT_KEY, seen, wait) {
             Ok(Some(object)) => {
@@ -87,7 +93,10 @@
 }
 
 fn adopt_from_store(daemon: &Arc<Daemon>, root: Vec<u8>) -> bool {
-    let fetch = |digest: &Digest| daemon.platform.get(&part_key(digest)).ok().flatten().map(|it| it.value);
+    let fetch = |parts: &[PartRef]| {
+        let object = daemon.platform.get(&part_key(&parts[0].0)).ok().flatten()?;
+        Some(vec![object.value])
+    };
     daemon.adopt(root, fetch)
 }
 
@@ -117,10 +126,18 @@
 impl Daemon {
     /// Gets a newer configuration from the peer that has it.
     pub(crate) fn fetch_from_peer(self: &Arc<Self>, address: SocketAddr) {
+        // If that one is older, the next exchange brings this one up again.
+        if self.config.is_fetching() {
+            return;
+        }
         let cx = Arc::clone(self);
         let job = Box::new(move || {
-            let send = |call, body| cx.peers.send(address, call, body, 0, Connection::Fresh, CONTROL_TIMEOUT);
-            let fetch = |digest: &Digest| send(PeerCall::Part, crate::wire::encode(&WantPart { digest: *digest })).ok();
+            let send = |call, body| cx.peers.send(address, call, body, 0, Connection::Kept, CONTROL_TIMEOUT);
+            let fetch = |parts: &[PartRef]| {
+                let want = encode(&WantParts { parts: parts.to_vec() });
+                let got: GotParts = decode(&send(PeerCall::Parts, want).ok()?).ok()?;
+                Some(got.parts.into_iter().map(ByteBuf::into_vec).collect())
+            };
             if let Ok(root) = send(PeerCall::Root, Vec::new()) {
                 cx.adopt(root, fetch);
             }
@@ -131,7 +148,7 @@
     }
 
     /// Puts a configuration in force if it is newer, and tells the fleet. False if parts are missing.
-    fn adopt(&self, root: Vec<u8>, fetch: impl Fn(&Digest) -> Option<Vec<u8>>) -> bool {
+    fn adopt(&self, root: Vec<u8>, fetch: impl Fn(&[PartRef]) -> Option<Vec<Vec<u8>>>) -> bool {
         match self.config.adopt(root, fetch) {
             Ok(None) => true,
             Ok(Some(config)) => {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -23,6 +23,9 @@
 pub const ROOT_KEY: &str = "config/root";
 /// How many changes back `apply` looks for its own after a lost answer.
 const CHAIN_LIMIT: usize = 64;
+/// How many differences an audit entry holds, so that it stays below the store's megabyte: each has
+/// at most two values of 160 characters, and a name.
+const AUDIT_LIMIT: usize = 2_000;
 /// The first pause before a call is made again.
 const BACKOFF_START: Duration = Duration::from_millis(100);
 /// The longest pause before a call is made again.
@@ -52,8 +55,10 @@
     pub change: Change,
     /// The change before.
     pub parent: ChangeId,
-    /// What it changed.
+    /// What it changed; the first `AUDIT_LIMIT` of it.
     pub differences: Vec<Difference>,
+    /// How many differences more there were.
+    pub omitted: usize,
 }
 
 /// How an `apply` ended.
@@ -187,7 +192,8 @@
         version: root.version,
         change: root.change.clone(),
         parent: root.parent,
-        differences: differences.to_vec(),
+        differences: differences.iter().take(AUDIT_LIMIT).cloned().collect(),
+        omitted: differences.len().saturating_sub(AUDIT_LIMIT),
     };
     let bytes = rmp_serde::to_vec(&entry).expect("an audit entry can be coded");
     platform
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -198,6 +198,9 @@
     pub importance: Importance,
     /// What is left of the deadline, in milliseconds.
     pub budget_ms: u64,
+    /// Whether an earlier attempt failed, so that the guard opens a connection for this one: kept
+    /// ones may all have gone silent.
+    pub retry: bool,
     /// Present exactly if the class is not idempotent.
     pub leg: Option<TicketLeg>,
     /// The request.
--- a/standins/src/idle.rs
+++ b/standins/src/idle.rs
@@ -22,8 +22,6 @@
     store::StoreCalls,
 };
 
-/// Endpoints beside each daemon at the letter's size.
-const ENDPOINTS: u16 = 11;
 /// For how long the idle fleet is watched.
 const WATCHED: Duration = Duration::from_secs(10);
 
@@ -34,6 +32,8 @@
     pub daemons: usize,
     /// How many changes of configuration.
     pub changes: usize,
+    /// How many endpoints announce themselves to each daemon.
+    pub endpoints: u16,
     /// Whether the configuration has the letter's size.
     pub large: bool,
 }
@@ -47,7 +47,7 @@
     let over = AtomicBool::new(false);
     let locals: Vec<_> = fleet.daemons.iter().map(|it| it.local).collect();
     thread::scope(|scope| {
-        let announcer = scope.spawn(|| announce(&locals, &over));
+        let announcer = scope.spawn(|| announce(&locals, options.endpoints, &over));
         let measured = measure(&mut fleet, options);
         over.store(true, Ordering::Release);
         announcer.join().expect("the announcer does not panic");
@@ -66,7 +66,7 @@
     print_idle(fleet)?;
     let mut times = Vec::new();
     for number in 0..options.changes {
-        targets.services[number % 910].floor_percent = 50 + (number % 40) as u8;
+        targets.services[number % 910].floor_percent = 61 + (number % 30) as u8;
         times.extend(change(fleet, &targets)?);
     }
     times.sort_unstable();
@@ -135,7 +135,7 @@
     };
     let wait = |local: SocketAddr| {
         while status(local).ok().and_then(|it| it["config_version"].as_u64()).unwrap_or(0) < version {
-            thread::sleep(Duration::from_millis(10));
+            thread::sleep(Duration::from_millis(40));
         }
         started.elapsed()
     };
@@ -163,14 +163,14 @@
 }
 
 /// Announces endpoints beside each daemon once a second; no one serves them.
-fn announce(locals: &[SocketAddr], over: &AtomicBool) {
+fn announce(locals: &[SocketAddr], endpoints: u16, over: &AtomicBool) {
     let agent = ureq::Agent::new_with_defaults();
     while !over.load(Ordering::Acquire) {
         let started = Instant::now();
         for (number, local) in locals.iter().enumerate() {
-            for at in 0..ENDPOINTS {
+            for at in 0..endpoints {
                 let announcement = Announcement {
-                    service: format!("service-{:04}", (number * usize::from(ENDPOINTS) + usize::from(at)) % 910).into(),
+                    service: format!("service-{:04}", (number * usize::from(endpoints) + usize::from(at)) % 910).into(),
                     address: ([127, 1, (number % 250) as u8, at as u8 + 1], 9 + (number / 250) as u16).into(),
                     slots: 7,
                     state: AnnouncedState::Serving,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod overload;
 pub mod proc;
+pub mod relay;
 pub mod slopes;
 pub mod soak;
 pub mod store;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -98,6 +98,9 @@
         /// How many changes of configuration
         #[bpaf(argument("COUNT"), fallback(20))]
         changes: usize,
+        /// How many endpoints announce themselves to each daemon; 11 at the size of letter 1
+        #[bpaf(argument("COUNT"), fallback(11))]
+        endpoints: u16,
         /// Use a configuration of the size of letter 1
         large: bool,
     },
@@ -150,7 +153,9 @@
             slopes::run(seed);
             Ok(true)
         }
-        Command::Idle { daemons, changes, large } => idle::run(IdleOptions { daemons, changes, large }).map(|()| true),
+        Command::Idle { daemons, changes, endpoints, large } => {
+            idle::run(IdleOptions { daemons, changes, endpoints, large }).map(|()| true)
+        }
         Command::Soak { seed, minutes, rate } => soak(seed, minutes, rate),
     }
 }
--- a/standins/tests/membership.rs
+++ b/standins/tests/membership.rs
@@ -5,12 +5,14 @@
     time::{Duration, Instant},
 };
 
+use jayreach::platform::{Applied, StoreClient, apply, audit_trail};
 use rustix::process::Signal;
 use standins::{
     deployment::{prairie, repository_file},
     fleet::{EndpointShape, Fleet, eligible, status},
     history,
     load::{self, Load},
+    slopes::large_targets,
     store::StoreFault,
 };
 
@@ -86,6 +88,22 @@
     fleet.close();
 }
 
+#[test]
+fn a_change_of_very_many_items_is_accepted_and_audited() {
+    let fleet = fleet(1);
+    let store = StoreClient::new(fleet.store);
+    let targets = large_targets(100, 10, 20_000);
+
+    let applied = apply(&store, &targets, None, "operator", "import", Duration::from_secs(10));
+
+    assert!(matches!(applied, Ok(Applied::Accepted { version: 2, .. })), "{applied:?}");
+    let newest = audit_trail(&store, 1).expect("the trail").remove(0);
+    // All are new, the sample's account, routes and services go, and one class has another lateness.
+    let (added, removed, changed) = (20_000 + 100 + 10, 1 + 3 + 3, 1);
+    assert_eq!(newest.differences.len() + newest.omitted, added + removed + changed);
+    fleet.close();
+}
+
 #[test]
 fn a_leaving_or_killed_endpoint_gets_no_work_after_three_seconds_in_any_view() {
     let mut fleet = fleet(3);
--- /dev/null
+++ b/standins/tests/silence.rs
@@ -0,0 +1,92 @@
+//! Open connections go silent for good while new ones work.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use standins::{
+    deployment::repository_file,
+    endpoint::OPERATION_HEADER,
+    fleet::{EndpointShape, Fleet, TOKEN},
+    relay::Relay,
+};
+
+const SHAPE: EndpointShape = EndpointShape { slots: 8, service_ms: 2, cold_start_ms: 0 };
+
+/// Announces an address for `service` until it is told to stop.
+fn announce(local: SocketAddr, service: &'static str, address: SocketAddr, over: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        while !over.load(Ordering::Acquire) {
+            let body = format!(r#"{{"service":"{service}","address":"{address}","slots":8,"state":"serving"}}"#);
+            // A daemon that has ended with its test can't be told.
+            _ = ureq::post(format!("http://{local}/announce")).send(&body);
+            thread::sleep(Duration::from_millis(500));
+        }
+    });
+}
+
+fn lookup(caller: SocketAddr, operation: &str) -> (u16, Duration) {
+    let started = Instant::now();
+    let req = ureq::post(format!("http://{caller}/portal")).header(OPERATION_HEADER, operation);
+    let status = match req.send(operation) {
+        Ok(it) => it.status().as_u16(),
+        Err(ureq::Error::StatusCode(it)) => it,
+        Err(_) => 0,
+    };
+    (status, started.elapsed())
+}
+
+fn charge(caller: SocketAddr, operation: &str) -> (u16, Duration) {
+    let tickets = ureq::post(format!("http://{caller}/.jayreach/tickets")).send_empty();
+    let text = tickets.expect("tickets").body_mut().read_to_string().expect("a body");
+    let ticket = text.trim_matches(['[', ']', '"']).to_owned();
+    let started = Instant::now();
+    let req = ureq::post(format!("http://{caller}/billing/charges"))
+        .header(OPERATION_HEADER, operation)
+        .header("Authorization", format!("Bearer {TOKEN}"))
+        .header("Jayreach-Ticket", ticket);
+    let status = match req.send(operation) {
+        Ok(it) => it.status().as_u16(),
+        Err(ureq::Error::StatusCode(it)) => it,
+        Err(_) => 0,
+    };
+    (status, started.elapsed())
+}
+
+#[test]
+fn work_goes_on_over_new_connections() {
+    let mut fleet = Fleet::start().expect("a store");
+    fleet.add_daemon("dc-1").expect("a daemon");
+    let (local, caller) = (fleet.daemons[0].local, fleet.callers()[0]);
+    let over = Arc::new(AtomicBool::new(false));
+    let mut relays = Vec::new();
+    for service in ["portal", "billing"] {
+        // The endpoint itself is announced under a service that no route leads to.
+        let at = fleet.add_endpoint("behind-a-relay", 0, SHAPE).expect("an endpoint");
+        let relay = Relay::start(fleet.endpoints[at].address).expect("a relay");
+        announce(local, service, relay.address, Arc::clone(&over));
+        relays.push(relay);
+    }
+    fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+    fleet.wait_for_endpoints(4).expect("the endpoints are seen");
+    let warm = thread::scope(|scope| {
+        let running: Vec<_> = (0..6).map(|it| scope.spawn(move || lookup(caller, &format!("warm-{it}")).0)).collect();
+        running.into_iter().map(|it| it.join().expect("a lookup")).collect::<Vec<_>>()
+    });
+    assert!(warm.iter().all(|it| *it == 200), "{warm:?}");
+
+    relays.iter().for_each(Relay::forget_open);
+    let charged = charge(caller, "charge-1");
+    let looked_up: Vec<_> = (0..4).map(|it| lookup(caller, &format!("after-{it}"))).collect();
+
+    assert_eq!(charged.0, 200, "{charged:?}");
+    assert!(looked_up.iter().all(|it| it.0 == 200 && it.1 < Duration::from_secs(1)), "{looked_up:?}");
+    let runs = fleet.runs().expect("the run logs");
+    assert_eq!(runs.iter().filter(|it| ***it == *"charge-1").count(), 1);
+    over.store(true, Ordering::Release);
+    fleet.close();
+}
