--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -31,6 +31,7 @@
 
 impl Run for args::Apply {
     fn run(self) -> Result<(), Error> {
+        let daemon = self.daemon_to_ask()?;
         let file = read_targets(&self.file)?;
         let store = StoreClient::new(self.store);
         let patience = Duration::from_secs(self.patience);
@@ -40,11 +41,7 @@
         if !self.json {
             report.print();
         }
-        if self.wait {
-            let daemon = self.daemon.ok_or_else(|| Error::Daemon {
-                address: "--daemon".into(),
-                message: "--wait needs the local address of a daemon to ask".into(),
-            })?;
+        if let Some(daemon) = daemon {
             report.in_force = Some(wait(daemon, report.version, Instant::now() + patience, self.json)?);
         }
         if self.json {
@@ -54,6 +51,20 @@
     }
 }
 
+impl args::Apply {
+    /// The daemon that `--wait` asks; known before anything is changed.
+    fn daemon_to_ask(&self) -> Result<Option<SocketAddr>, Error> {
+        match (self.wait, self.daemon) {
+            (false, _) => Ok(None),
+            (true, Some(it)) => Ok(Some(it)),
+            (true, None) => Err(Error::Daemon {
+                address: "--daemon".into(),
+                message: "--wait needs the local address of a daemon to ask; nothing was changed".into(),
+            }),
+        }
+    }
+}
+
 impl Report {
     fn new(applied: Applied) -> Self {
         match applied {
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -198,19 +198,11 @@
 }
 
 fn count(class: &str, outcome: &Outcome, took: Duration) {
-    let name = outcome_name(outcome);
+    let name = outcome.name();
     metrics::counter!("jayreach_requests_total", "class" => class.to_owned(), "outcome" => name).increment(1);
     metrics::histogram!("jayreach_request_seconds", "class" => class.to_owned()).record(took.as_secs_f64());
 }
 
-fn outcome_name(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Done(_) => "done",
-        Outcome::NotRun(_) => "not-run",
-        Outcome::Unknown(_) => "unknown",
-    }
-}
-
 fn tell(req: Request, outcome: Outcome) {
     match outcome {
         Outcome::Done(answer) => tell_answer(req, answer),
--- a/src/daemon/guard.rs
+++ b/src/daemon/guard.rs
@@ -10,19 +10,15 @@
 
 use crossbeam::channel::{Sender, bounded};
 use serde::{Deserialize, Serialize};
-use ureq::http::Request;
 
 use crate::{
-    daemon::client::{Client, Connection, Reply},
+    daemon::{client::Client, endpoint},
     decide::{Admission, Arrival, Event, Gate, Release, Sample, Standing, Tuning, WaiterId, failure_level},
     rows::{EndpointId, EndpointRow, EndpointState, Incarnation},
     targets::Weighs,
-    ticket::{Ledger, Opening, Silence},
+    ticket::{Ledger, Opening},
     util::lock,
-    wire::{
-        Answer, Dispatch, DispatchReply, Doubt, Header, Outcome, Refusal, Revoke, RevokeReply, Ticket, TicketStatus,
-        Work,
-    },
+    wire::{Dispatch, DispatchReply, Doubt, Outcome, Refusal, Revoke, RevokeReply, Ticket, TicketStatus},
 };
 
 /// After so long a silence an endpoint gets no new work (issue 3, towards endpoints).
@@ -31,10 +27,6 @@
 const FORGET_GONE: Duration = Duration::from_secs(30);
 /// With less than this left, work is not sent any more.
 const LEAST_BUDGET: Duration = Duration::from_millis(1);
-/// How long telling an endpoint that a request is cancelled may take.
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(200);
-/// The header by which an endpoint says that it shed a request without running it.
-const OUTCOME_HEADER: &str = "jayreach-outcome";
 
 /// What an endpoint says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +64,14 @@
     pub(crate) weighs: Weighs,
 }
 
+/// What a guard asks of its daemon while it runs a dispatch.
+pub(crate) struct Hooks<'a> {
+    /// What an endpoint's service weighs, and how its others fare.
+    pub(crate) measure: &'a dyn Fn(&str) -> Measure,
+    /// The endpoint's row has to be told anew.
+    pub(crate) changed: &'a dyn Fn(),
+}
+
 struct Endpoint {
     id: EndpointId,
     service: Box<str>,
@@ -169,33 +169,21 @@
         GuardCount { ledger: inner.ledger.len(), running: inner.ledger.running() }
     }
 
-    /// Runs a dispatch; `changed` is called if the endpoint's row has to be told anew.
-    pub(crate) fn execute(
-        &self,
-        client: &Client,
-        dispatch: &Dispatch,
-        measure: impl Fn(&str) -> Measure,
-        changed: impl Fn(),
-    ) -> DispatchReply {
-        let outcome = self.run(client, dispatch, measure, changed);
+    /// Runs a dispatch.
+    pub(crate) fn execute(&self, client: &Client, dispatch: &Dispatch, hooks: &Hooks<'_>) -> DispatchReply {
+        let outcome = self.run(client, dispatch, hooks);
         let inner = lock(&self.inner);
         let gate = inner.find(&dispatch.endpoint).map(|at| &inner.endpoints[at].gate);
         let (load, admits) = gate.map_or((0, 0), |it| (it.load(), it.admits()));
         DispatchReply { outcome, load, admits }
     }
 
-    fn run(
-        &self,
-        client: &Client,
-        dispatch: &Dispatch,
-        measure: impl Fn(&str) -> Measure,
-        changed: impl Fn(),
-    ) -> Outcome {
+    fn run(&self, client: &Client, dispatch: &Dispatch, hooks: &Hooks<'_>) -> Outcome {
         if dispatch.guard_incarnation != self.incarnation {
             return Outcome::NotRun(Refusal::StaleDispatch);
         }
         let Some(leg) = &dispatch.leg else {
-            return self.run_once(client, dispatch, measure, changed);
+            return self.run_once(client, dispatch, hooks);
         };
         match lock(&self.inner).ledger.open(leg) {
             Opening::Run => (),
@@ -203,20 +191,14 @@
             Opening::Ended(outcome) => return outcome,
             Opening::Stale => return Outcome::NotRun(Refusal::StaleDispatch),
         }
-        let outcome = self.run_once(client, dispatch, measure, changed);
+        let outcome = self.run_once(client, dispatch, hooks);
         lock(&self.inner).ledger.finish(&leg.ticket, outcome.clone());
         self.ended.notify_all();
         outcome
     }
 
     /// Admits the work, passes it to the endpoint and takes the evidence.
-    fn run_once(
-        &self,
-        client: &Client,
-        dispatch: &Dispatch,
-        measure: impl Fn(&str) -> Measure,
-        changed: impl Fn(),
-    ) -> Outcome {
+    fn run_once(&self, client: &Client, dispatch: &Dispatch, hooks: &Hooks<'_>) -> Outcome {
         let started = Instant::now();
         let deadline = started + Duration::from_millis(dispatch.budget_ms);
         if let Err(refusal) = self.admit(dispatch, deadline) {
@@ -225,17 +207,19 @@
         }
         let admitted = Instant::now();
         let left = deadline.saturating_duration_since(admitted);
-        let called =
-            if left < LEAST_BUDGET { Called::NotSent(Refusal::TooLate) } else { call_endpoint(client, dispatch, left) };
+        let (outcome, sample) = if left < LEAST_BUDGET {
+            (Outcome::NotRun(Refusal::TooLate), None)
+        } else {
+            endpoint::call(client, dispatch, left)
+        };
         let now = Instant::now();
-        let (outcome, sample) = judge(called);
-        let measure = measure(&dispatch.endpoint);
+        let measure = (hooks.measure)(&dispatch.endpoint);
         if outcome == Outcome::Unknown(Doubt::EndpointSilent) {
             // The endpoint's slot stays in use until the cancellation has reached it.
-            cancel(client, dispatch);
+            endpoint::cancel(client, dispatch);
         }
         if self.leave(&dispatch.endpoint, now - admitted, sample, measure, now) {
-            changed();
+            (hooks.changed)();
         }
         outcome
     }
@@ -347,7 +331,6 @@
             slots: self.slots,
             state: self.standing.state(),
             failures: failure_level(self.standing.rate()),
-            admits: self.gate.admits(),
         }
     }
 
@@ -384,62 +367,3 @@
 fn tells_more(before: &EndpointRow, after: &EndpointRow) -> bool {
     before.state != after.state || before.failures.abs_diff(after.failures) >= 2
 }
-
-enum Called {
-    Answered(Reply),
-    Silent(Silence),
-    NotSent(Refusal),
-}
-
-fn call_endpoint(client: &Client, dispatch: &Dispatch, left: Duration) -> Called {
-    let Some(req) = request(dispatch, left) else {
-        return Called::NotSent(Refusal::BadRequest);
-    };
-    let connection = if dispatch.retry || dispatch.leg.is_some() { Connection::Fresh } else { Connection::Kept };
-    match client.call(req, connection, left) {
-        Ok(reply) => Called::Answered(reply),
-        Err(silence) => Called::Silent(silence),
-    }
-}
-
-fn request(dispatch: &Dispatch, left: Duration) -> Option<Request<Vec<u8>>> {
-    let Work { method, target, headers, body } = &dispatch.work;
-    let mut req = Request::builder().method(&**method).uri(format!("http://{}{target}", dispatch.endpoint));
-    for Header { name, value } in headers {
-        req = req.header(&**name, &**value);
-    }
-    req.header("Jayreach-Request-Id", &*dispatch.request_id)
-        .header("Jayreach-Deadline-Ms", left.as_millis() as u64)
-        .body(body.clone())
-        .ok()
-}
-
-/// What an endpoint's answer or silence means to the caller, and what it says of the endpoint.
-fn judge(called: Called) -> (Outcome, Option<Sample>) {
-    match called {
-        Called::NotSent(refusal) => (Outcome::NotRun(refusal), None),
-        Called::Answered(reply) if shed(&reply) => (Outcome::NotRun(Refusal::EndpointShed), None),
-        Called::Answered(reply) => {
-            let sample = if reply.status >= 500 { Sample::Bad } else { Sample::Good };
-            let Reply { status, headers, body } = reply;
-            (Outcome::Done(Answer { status, headers, body }), Some(sample))
-        }
-        Called::Silent(Silence::NoLocalPort) => (Outcome::NotRun(Refusal::Overloaded), None),
-        Called::Silent(Silence::Refused) => (Outcome::NotRun(Refusal::EndpointUnreachable), Some(Sample::Bad)),
-        Called::Silent(Silence::Lost) => (Outcome::Unknown(Doubt::EndpointSilent), Some(Sample::Bad)),
-    }
-}
-
-fn shed(reply: &Reply) -> bool {
-    let says = |it: &Header| it.name.eq_ignore_ascii_case(OUTCOME_HEADER) && &*it.value == "not-run";
-    reply.status == 503 && reply.headers.iter().any(says)
-}
-
-/// Tells the endpoint that nobody waits any more; its connection was closed before.
-fn cancel(client: &Client, dispatch: &Dispatch) {
-    let uri = format!("http://{}/.jayreach/requests/{}", dispatch.endpoint, dispatch.request_id);
-    let Ok(req) = Request::builder().method("DELETE").uri(uri).body(Vec::new()) else { return };
-    if client.call(req, Connection::Fresh, CANCEL_TIMEOUT).is_err() {
-        metrics::counter!("jayreach_cancellations_lost_total").increment(1);
-    }
-}
--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// One attempt at a request.
+struct Attempt<'a> {
+    order: Order<'a>,
+    work: &'a Work,
+    /// Present exactly if the class is not idempotent.
+    leg: Option<TicketLeg>,
+    connection: Connection,
+    /// What is left of the deadline for this attempt.
+    budget: Duration,
+}
+
 impl Daemon {
     /// Runs idempotent work.
     pub(crate) fn run_idempotent(&self, order: Order<'_>, work: &Work) -> Outcome {
@@ -79,30 +90,22 @@
                 Err(refusal) if tried.is_empty() => return Outcome::NotRun(refusal),
                 Err(_) => break,
             };
-            let first = tried.is_empty();
-            let (connection, share) = if first { (Connection::Kept, FIRST_SHARE) } else { (Connection::Fresh, 1.0) };
-            let budget = order.left().mul_f64(share);
-            last = self.attempt(&target, order, None, work, connection, budget);
+            let (connection, share) =
+                if tried.is_empty() { (Connection::Kept, FIRST_SHARE) } else { (Connection::Fresh, 1.0) };
+            let attempt = Attempt { order, work, leg: None, connection, budget: order.left().mul_f64(share) };
+            last = self.try_once(&target, &attempt);
             if answered_well(&last) {
                 return last;
             }
-            count_retry(&last);
+            metrics::counter!("jayreach_failed_attempts_total", "outcome" => last.name()).increment(1);
             keep_telling(&mut kept, &last);
             tried.push(target);
         }
         kept.unwrap_or(last)
     }
 
-    fn attempt(
-        &self,
-        target: &Arc<Target>,
-        order: Order<'_>,
-        leg: Option<TicketLeg>,
-        work: &Work,
-        connection: Connection,
-        budget: Duration,
-    ) -> Outcome {
-        match self.send(target, order, leg, work, connection, budget, budget + GRACE) {
+    fn try_once(&self, target: &Arc<Target>, attempt: &Attempt<'_>) -> Outcome {
+        match self.send(target, attempt, attempt.budget + GRACE) {
             Ok(reply) => reply.outcome,
             Err(Silence::Refused) => Outcome::NotRun(Refusal::GuardUnreachable),
             Err(Silence::NoLocalPort) => Outcome::NotRun(Refusal::Overloaded),
@@ -110,33 +113,24 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "each names one part of a dispatch")]
-    fn send(
-        &self,
-        target: &Arc<Target>,
-        order: Order<'_>,
-        leg: Option<TicketLeg>,
-        work: &Work,
-        connection: Connection,
-        budget: Duration,
-        timeout: Duration,
-    ) -> Result<DispatchReply, Silence> {
+    /// Sends an attempt to its target's guard and waits for `timeout` at most.
+    fn send(&self, target: &Arc<Target>, attempt: &Attempt<'_>, timeout: Duration) -> Result<DispatchReply, Silence> {
         let dispatch = Dispatch {
             request_id: self.request_id(),
             guard_incarnation: target.guard.incarnation,
             endpoint: target.row.id.clone(),
-            importance: order.importance,
-            budget_ms: budget.as_millis() as u64,
-            retry: connection == Connection::Fresh,
-            leg,
-            work: work.clone(),
+            importance: attempt.order.importance,
+            budget_ms: attempt.budget.as_millis() as u64,
+            retry: attempt.connection == Connection::Fresh,
+            leg: attempt.leg.clone(),
+            work: attempt.work.clone(),
         };
         let ticketed = dispatch.leg.is_some();
         let in_flight = target.start();
         let result = if self.is_self(&target.guard) {
             Ok(self.execute(&dispatch))
         } else {
-            self.peers.dispatch(target.guard.peers, &dispatch, connection, timeout)
+            self.peers.dispatch(target.guard.peers, &dispatch, attempt.connection, timeout)
         };
         in_flight.close();
         match &result {
@@ -230,7 +224,8 @@
         };
         let budget = order.left();
         let timeout = FIRST_WAIT.min(budget + GRACE);
-        let sent = self.send(target, order, Some(leg.clone()), work, Connection::Kept, budget, timeout);
+        let attempt = Attempt { order, work, leg: Some(leg.clone()), connection: Connection::Kept, budget };
+        let sent = self.send(target, &attempt, timeout);
         let mut verdict = match sent {
             Ok(reply) => judge_reply(reply.outcome),
             Err(silence) => judge_silence(silence),
@@ -380,12 +375,3 @@
         Outcome::Done(_) | Outcome::Unknown(_) => false,
     }
 }
-
-fn count_retry(last: &Outcome) {
-    let name = match last {
-        Outcome::Done(_) => "done",
-        Outcome::NotRun(_) => "not-run",
-        Outcome::Unknown(_) => "unknown",
-    };
-    metrics::counter!("jayreach_failed_attempts_total", "outcome" => name).increment(1);
-}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod config;
 mod desk;
+mod endpoint;
 mod guard;
 mod http;
 mod ingress;
@@ -43,7 +44,7 @@
         client::Client,
         config::ConfigCell,
         desk::HomeDesk,
-        guard::{GuardDesk, Measure},
+        guard::{GuardDesk, Hooks, Measure},
         http::{Listener, Request},
         peers::Peers,
         phase::{Phase, PhaseCell, PhaseEvent},
@@ -276,7 +277,8 @@
     /// Runs a dispatch on an endpoint of this guard.
     fn execute(&self, dispatch: &Dispatch) -> DispatchReply {
         let working = self.working();
-        let reply = self.guard.execute(&self.client, dispatch, |it| self.measure(it), || self.refresh_row());
+        let hooks = Hooks { measure: &|it| self.measure(it), changed: &|| self.refresh_row() };
+        let reply = self.guard.execute(&self.client, dispatch, &hooks);
         working.close();
         reply
     }
--- a/src/rows/row.rs
+++ b/src/rows/row.rs
@@ -4,8 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::targets::Importance;
-
 /// A daemon's name, unique in the fleet.
 pub type DaemonId = Box<str>;
 /// An endpoint's address as it announced itself.
@@ -46,8 +44,6 @@
     pub state: EndpointState,
     /// Its recent failure rate as a power of two: 0 for none, n for about 2^(n-11).
     pub failures: u8,
-    /// How important work must be to be admitted while it is overloaded; 0 if it is not.
-    pub admits: Importance,
 }
 
 /// Orders the states of one row; the higher one is newer.
--- a/src/targets/directory.rs
+++ b/src/targets/directory.rs
@@ -6,8 +6,8 @@
 use crate::{
     error::Error,
     targets::{
-        model::{Class, Importance, Service, TokenHash, hash_token},
-        parts::join,
+        model::{Class, Importance, Route, Service, TokenHash, hash_token},
+        parts::{Content, decode},
     },
 };
 
@@ -47,24 +47,36 @@
 }
 
 impl Directory {
-    /// Builds the directory from coded parts.
+    /// Builds the directory from coded parts, one after the other, so that no more than one part's
+    /// names are held at a time. The part with classes and services comes first, as `split` makes it.
     pub fn build(context: &str, parts: &[impl AsRef<Vec<u8>>]) -> Result<Self, Error> {
-        let targets = join(context, parts)?;
-        let index = |found: Option<usize>, name: &str| {
-            found.map(|it| it as u32).ok_or_else(|| Error::Corrupt {
-                context: context.into(),
-                message: format!("a route names {name}, which is not there").into(),
-            })
-        };
-        let mut routes = Vec::with_capacity(targets.routes.len());
-        for it in targets.routes {
-            let service = targets.services.binary_search_by(|s| s.name.cmp(&it.service)).ok();
-            let class = targets.classes.binary_search_by(|c| c.name.cmp(&it.class)).ok();
-            let (service, class) = (index(service, &it.service)?, index(class, &it.class)?);
-            routes.push(Entry { prefix: it.prefix, service, class, public: it.public });
+        let mut directory = Self::default();
+        for bytes in parts {
+            match decode(context, bytes.as_ref())? {
+                Content::Base { classes, services } => (directory.classes, directory.services) = (classes, services),
+                Content::Routes(routes) => directory.add_routes(context, routes)?,
+                Content::Accounts(accounts) => directory.tokens.extend(accounts.iter().map(|it| it.token_hash)),
+            }
+        }
+        directory.routes.sort_by(|a, b| a.prefix.cmp(&b.prefix));
+        directory.tokens.sort_unstable();
+        directory.routes.shrink_to_fit();
+        directory.tokens.shrink_to_fit();
+        Ok(directory)
+    }
+
+    fn add_routes(&mut self, context: &str, routes: Vec<Route>) -> Result<(), Error> {
+        for it in routes {
+            let service = self.services.binary_search_by(|s| s.name.cmp(&it.service));
+            let class = self.classes.binary_search_by(|c| c.name.cmp(&it.class));
+            let (Ok(service), Ok(class)) = (service, class) else {
+                let message = format!("the route {} names a service or class that is not there", it.prefix);
+                return Err(Error::Corrupt { context: context.into(), message: message.into() });
+            };
+            let (service, class) = (service as u32, class as u32);
+            self.routes.push(Entry { prefix: it.prefix, service, class, public: it.public });
         }
-        let tokens = targets.accounts.iter().map(|it| it.token_hash).collect();
-        Ok(Self { classes: targets.classes, services: targets.services, routes, tokens })
+        Ok(())
     }
 
     /// The route with the longest prefix of whole segments of `path`.
--- a/src/targets/parts.rs
+++ b/src/targets/parts.rs
@@ -64,7 +64,7 @@
 
 /// What a part holds.
 #[derive(Serialize, Deserialize)]
-enum Content {
+pub(super) enum Content {
     Base { classes: Vec<Class>, services: Vec<Service> },
     Routes(Vec<Route>),
     Accounts(Vec<Account>),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -174,6 +174,17 @@
     Unknown(Doubt),
 }
 
+impl Outcome {
+    /// Its name towards callers and in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Done(_) => "done",
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// A ticket's part of a dispatch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TicketLeg {
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -28,15 +28,12 @@
     pub mix: Vec<Kind>,
 }
 
+fn kind(class: &'static str, path: &'static str, ticketed: bool, percent: u32, secs: u64) -> Kind {
+    Kind { class, path, ticketed, percent, lateness: Duration::from_secs(secs) }
+}
+
 /// Prairie Public Access Network Authority.
 pub fn prairie() -> Deployment {
-    let kind = |class, path, ticketed, percent, secs| Kind {
-        class,
-        path,
-        ticketed,
-        percent,
-        lateness: Duration::from_secs(secs),
-    };
     Deployment {
         name: "Prairie",
         targets: "samples/prairie.toml",
@@ -53,13 +50,6 @@
 
 /// Pila Verde Recolección.
 pub fn pila_verde() -> Deployment {
-    let kind = |class, path, ticketed, percent, secs| Kind {
-        class,
-        path,
-        ticketed,
-        percent,
-        lateness: Duration::from_secs(secs),
-    };
     Deployment {
         name: "Pila Verde",
         targets: "samples/pila-verde.toml",
--- a/standins/src/slopes.rs
+++ b/standins/src/slopes.rs
@@ -59,7 +59,6 @@
         slots: 7,
         state: EndpointState::Serving,
         failures: 0,
-        admits: 0,
     };
     Row {
         daemon: format!("vm-{number}").into(),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use jayreach::{
     settings::Settings,
-    targets::{differences, join, parse_targets, split, write_targets},
+    targets::{Directory, differences, join, parse_targets, split, write_targets},
 };
 use rstest::rstest;
 
@@ -68,6 +68,26 @@
     assert_eq!(joined, targets);
 }
 
+#[rstest]
+#[case("/billing", Some("/billing"))]
+#[case("/billing/", Some("/billing"))]
+#[case("/billing/charges/7", Some("/billing/charges"))]
+#[case("/billing/chargesheet", Some("/billing"))]
+#[case("/billings", None)]
+#[case("/", None)]
+fn a_route_is_the_longest_prefix_of_whole_segments(#[case] path: &str, #[case] wanted: Option<&str>) {
+    let charges =
+        "[[route]]\nprefix = \"/billing/charges\"\nservice = \"billing\"\nclass = \"charge\"\npublic = true\n";
+    let targets = parse_targets("t.toml", &(good_targets() + charges)).expect("good targets").targets;
+    let parts: Vec<_> = split(&targets).into_iter().map(|it| it.bytes).collect();
+
+    let directory = Directory::build("parts", &parts).expect("parts we made");
+
+    // Only the longer prefix is public.
+    let found = directory.route(path).map(|it| if it.public { "/billing/charges" } else { "/billing" });
+    assert_eq!(found, wanted);
+}
+
 #[test]
 fn a_difference_names_what_changed() {
     let old = parse_targets("t.toml", &good_targets()).expect("good targets").targets;
