Endpoints that flap and keep deadlines; operators' commands tested

Cause: the stand-in lacked two faults of the issue, and no test ran check, diff, status, ticket and drain against a daemon.

Ruled out: nothing.

Change: the endpoint stand-in flaps, and gives up at its deadline with a "not-run"; the soak flaps endpoints. A test of the operators' commands, and of a drained daemon that ends.

--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -39,6 +39,8 @@
     pub hangs: f64,
     /// So much longer a request takes, in milliseconds.
     pub slow_ms: u64,
+    /// It fails like this for so long, then not for as long, and again, in milliseconds; 0 for always.
+    pub flap_ms: u64,
     /// It answers with less than it states.
     pub truncates: bool,
     /// It reports this load, whatever it has.
@@ -148,6 +150,13 @@
         lock(&self.fault).clone()
     }
 
+    /// The fault, unless it flaps and is in its good half.
+    fn fault_now(&self) -> EndpointFault {
+        let fault = self.fault();
+        let half = (self.started.elapsed().as_millis() as u64).checked_div(fault.flap_ms);
+        if half.is_some_and(|it| it % 2 == 1) { EndpointFault::default() } else { fault }
+    }
+
     fn answer(&self, mut req: Request) {
         let mut body = Vec::new();
         if req.as_reader().read_to_end(&mut body).is_err() {
@@ -181,12 +190,17 @@
 
     /// Runs a request: its effect is the line in the log.
     fn work(&self, req: Request, cancelled: &AtomicBool) {
-        let fault = self.fault();
+        let fault = self.fault_now();
         let operation = header(&req, OPERATION_HEADER);
         let service_time = self.options.service_time.mul_f64(rand::rng().random_range(0.5..1.5));
-        if !sleep_unless(cancelled, service_time + Duration::from_millis(fault.slow_ms)) {
+        let service_time = service_time + Duration::from_millis(fault.slow_ms);
+        let deadline = header(&req, "Jayreach-Deadline-Ms").parse().map_or(Duration::MAX, Duration::from_millis);
+        if !sleep_unless(cancelled, service_time.min(deadline)) {
             return;
         }
+        if service_time > deadline {
+            return respond(req, 503, "", "not-run");
+        }
         self.record(&operation);
         let mut rng = rand::rng();
         if rng.random_bool(fault.hangs) && !sleep_unless(cancelled, HANG) {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -43,6 +43,8 @@
     FreezeEndpoint,
     /// An endpoint fails real work and answers its health checks.
     Errors,
+    /// An endpoint fails all work for half a second, then none, and again.
+    Flaps,
     /// An endpoint never answers some work.
     Hangs,
     /// An endpoint answers with less than it states.
@@ -60,13 +62,14 @@
 }
 
 /// All faults.
-pub const FAULTS: [Fault; 13] = [
+pub const FAULTS: [Fault; 14] = [
     Fault::KillDaemon,
     Fault::FreezeDaemon,
     Fault::StopDaemon,
     Fault::KillEndpoint,
     Fault::FreezeEndpoint,
     Fault::Errors,
+    Fault::Flaps,
     Fault::Hangs,
     Fault::Truncates,
     Fault::SlowAndLying,
@@ -213,6 +216,7 @@
             Fault::KillEndpoint => self.fleet.endpoints[endpoint].process.kill(),
             Fault::FreezeEndpoint => self.fleet.endpoints[endpoint].process.signal(Signal::STOP),
             Fault::Errors => self.endpoint_fault(endpoint, &EndpointFault { errors: 1.0, ..none }),
+            Fault::Flaps => self.endpoint_fault(endpoint, &EndpointFault { errors: 1.0, flap_ms: 500, ..none }),
             Fault::Hangs => self.endpoint_fault(endpoint, &EndpointFault { hangs: 0.5, ..none }),
             Fault::Truncates => self.endpoint_fault(endpoint, &EndpointFault { truncates: true, ..none }),
             Fault::SlowAndLying => {
@@ -243,7 +247,7 @@
             }
             Fault::KillEndpoint => self.fleet.restart_endpoint(endpoint)?,
             Fault::FreezeEndpoint => self.fleet.endpoints[endpoint].process.signal(Signal::CONT),
-            Fault::Errors | Fault::Hangs | Fault::Truncates | Fault::SlowAndLying => {
+            Fault::Errors | Fault::Flaps | Fault::Hangs | Fault::Truncates | Fault::SlowAndLying => {
                 self.endpoint_fault(endpoint, &EndpointFault::default());
             }
             Fault::StoreAway | Fault::StoreSlow | Fault::LoseAnswers => self.store_fault(&StoreFault::default())?,
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -138,6 +138,42 @@
     it.to_str().expect("a path in UTF-8")
 }
 
+#[test]
+fn operators_see_and_steer_a_daemon() {
+    let mut fleet = small_fleet();
+    let (local, caller) = (fleet.daemons[0].local.to_string(), fleet.callers()[0]);
+    let sample = repository_file("samples/prairie.toml");
+    let used = ticket(caller);
+    call(caller, "/billing/charges", Some(&used), TOKEN, "charge-1");
+    let run = |args: &[&str]| fleet.command(args).expect("a command");
+
+    let checked = run(&["check", path(&sample)]);
+    let diff = run(&["diff", path(&sample), "--json"]);
+    let status = run(&["status", "--daemon", &local]);
+    let known = run(&["ticket", "--callers", &caller.to_string(), &used]);
+    let no_daemon = run(&["apply", path(&sample), "--why", "x", "--wait"]);
+    let drained = run(&["drain", "--daemon", &local]);
+
+    assert!(checked.1.contains("3 classes, 3 services, 3 routes, 1 accounts"), "{}", checked.1);
+    assert_eq!(diff.1.trim(), "[]");
+    assert!(status.1.contains("phase: serving") && status.1.contains("state=serving"), "{}", status.1);
+    assert!(known.1.contains(r#""state":"done","status":200"#), "{}", known.1);
+    assert_eq!(no_daemon.0, Some(1), "{}", no_daemon.1);
+    assert_eq!(drained.0, Some(0));
+    wait_for_end(&mut fleet);
+    fleet.close();
+}
+
+fn wait_for_end(fleet: &mut Fleet) {
+    for _ in 0..200 {
+        if fleet.daemons[0].process.ended() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    panic!("a drained daemon ends");
+}
+
 #[rstest]
 #[case("/billing/charges", 1)]
 #[case("/portal", 4)]
