--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,10 +4,11 @@
 
 use bpaf::{Bpaf, Parser as _};
 use standins::{
-    bench, demo,
+    bench, demo, deployment,
     endpoint::{self, EndpointOptions},
     gray,
     idle::{self, IdleOptions},
+    load::{self, Load},
     overload, slopes,
     soak::{self, FAULTS, SoakOptions},
     store,
@@ -48,6 +49,24 @@
         #[bpaf(argument("FILE"))]
         log: PathBuf,
     },
+    /// Be the callers of a deployment: make load on daemons that run, and print what became of it
+    #[bpaf(command)]
+    Caller {
+        /// The callers' address of a daemon; once for each daemon
+        #[bpaf(argument("ADDRESS"), some("name at least one daemon"))]
+        daemon: Vec<SocketAddr>,
+        /// Make Pila Verde's load, not Prairie's
+        pila_verde: bool,
+        /// Requests a second
+        #[bpaf(argument("RATE"), fallback(100.0))]
+        rate: f64,
+        /// For how long
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        seconds: u64,
+        /// Seeds the load
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
     /// Show both deployments of the brief under load, with one endpoint broken
     #[bpaf(command)]
     Demo {
@@ -141,6 +160,13 @@
             let options = EndpointOptions { service, address, daemon, slots, service_time, cold_start, log };
             endpoint::run(options).map(|()| true)
         }
+        Command::Caller { daemon, pila_verde, rate, seconds, seed } => {
+            let deployment = if pila_verde { deployment::pila_verde() } else { deployment::prairie() };
+            let duration = Duration::from_secs(seconds);
+            let load = Load { mix: deployment.mix, rate, duration, seed, workers: 128, asks_again: true };
+            load::print(&load::summarize(&load, &load::run(&load, &daemon)));
+            Ok(true)
+        }
         Command::Demo { rate, seed } => demo::run(rate, seed),
         Command::Bench { rate } => bench::run(rate).map(|()| true),
         Command::Gray { hours, seed } => {
