A comment told of the server before

Cause: pool.rs said that a dropped request is answered; since hyper serves, its connection is closed.

Ruled out: nothing. Change: the comment. Measured: formatter, linter and the product's own tests pass.

--- a/src/daemon/pool.rs
+++ b/src/daemon/pool.rs
@@ -65,7 +65,7 @@
         };
         let builder = thread::Builder::new().name(self.name.into()).stack_size(STACK);
         if let Err(error) = builder.spawn(work) {
-            // The job is lost with the closure, whose request answers on being dropped.
+            // The job is lost with the closure; its request closes the connection on being dropped.
             log::error!("no thread for {}: {error}", self.name);
             self.threads.fetch_sub(1, Ordering::AcqRel);
         }
