Watch the configuration from the listed revision

Cause: a watch began at the revision of the object's last change. Ruled out: back-off while the store is away (8 failures a proxy).

Change: the kind is listed, which tells the store's revision; the watch goes on from there.

Conclusion: an object's revision is no place to watch from.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -77,6 +77,8 @@
     items: Vec<Object<'a>>,
     #[serde(default)]
     has_more: bool,
+    /// The store's revision at which it was listed.
+    at_rev: Revision,
 }
 
 #[derive(Deserialize)]
@@ -89,8 +91,6 @@
 #[derive(Deserialize)]
 struct Metadata {
     name: Box<str>,
-    /// The revision of the object's last change.
-    revision: Revision,
 }
 
 #[derive(Deserialize)]
@@ -125,19 +125,22 @@
         Self { address }
     }
 
-    /// Reads the configuration.
+    /// Reads the configuration. Listing its kind tells the store's revision, from which a watch can
+    /// go on; the object's own revision may be older than the history that the store keeps.
     ///
     /// # Errors
     ///
     /// See [`StoreFailure`].
     pub async fn config(&self) -> Result<ConfigObject, StoreFailure> {
-        let path = format!("/objects/{CONFIG_KIND}/{CONFIG_NAME}");
-        let (status, body) = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
-        match status {
-            StatusCode::OK => config_object(&serde_json::from_slice(&body)?),
-            StatusCode::NOT_FOUND => Ok(ConfigObject { config: None, revision: 0 }),
-            it => Err(StoreFailure::Refused(it.as_u16())),
+        let (status, body) =
+            self.call(Method::GET, &format!("/objects/{CONFIG_KIND}"), Bytes::new(), Duration::ZERO).await?;
+        if status != StatusCode::OK {
+            return Err(StoreFailure::Refused(status.as_u16()));
         }
+        let page: Page<'_> = serde_json::from_slice(&body)?;
+        let ours = page.items.iter().find(|it| &*it.metadata.name == CONFIG_NAME);
+        let config = ours.map(|it| parse_config(it.spec.get().as_bytes())).transpose()?;
+        Ok(ConfigObject { config, revision: page.at_rev })
     }
 
     /// Waits up to `wait` for the configuration to change after `revision`.
@@ -156,7 +159,7 @@
         let events: Events<'_> = serde_json::from_slice(&body)?;
         let ours = |it: &&Event<'_>| !it.is_deleted && &*it.object.metadata.name == CONFIG_NAME;
         let config = match events.events.iter().rfind(ours) {
-            Some(it) => config_object(&it.object)?.config,
+            Some(it) => Some(parse_config(it.object.spec.get().as_bytes())?),
             None => None,
         };
         Ok(WatchEnd::Went(ConfigObject { config, revision: events.at_rev }))
@@ -231,8 +234,3 @@
 fn done(status: StatusCode) -> Result<(), StoreFailure> {
     if status.is_success() { Ok(()) } else { Err(StoreFailure::Refused(status.as_u16())) }
 }
-
-fn config_object(object: &Object<'_>) -> Result<ConfigObject, StoreFailure> {
-    let config = parse_config(object.spec.get().as_bytes())?;
-    Ok(ConfigObject { config: Some(config), revision: object.metadata.revision })
-}
