The fleet's allowance for repeats is kept: slack shared, calls of repeats charged

Beside it, calls that a repeated run makes were counted as first arrivals, where the rule counts them as repeats. Ruled out: refusals by guards, which reach no endpoint.

Change: every step of the allowance divides the slack by the proxies known; a run says whether it is a repeat, and the guard beside it tells the ingress so of its calls, which are then charged.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Allowance {
     terms: Terms,
-    /// Saved from requests; the oldest savings lapse with the window.
+    /// Saved from requests; the oldest savings, and debts, lapse with the window.
     earned: f64,
     /// Saved from the slack.
     slack: f64,
@@ -38,23 +38,26 @@
         Self { terms, earned: 0.0, slack: part(&terms, proxies) / 2.0, at: now }
     }
 
-    /// Counts a request's first arrival.
-    pub fn earn(&mut self, now: Instant) {
-        self.pass(now, 1);
+    /// Counts a request's first arrival, with `proxies` sharing the slack.
+    pub fn earn(&mut self, proxies: usize, now: Instant) {
+        self.pass(now, proxies);
         self.earned += self.terms.ratio;
     }
 
+    /// Counts an arrival that can't be held back: a call of work that is itself a repeat.
+    pub fn charge(&mut self, proxies: usize, now: Instant) {
+        self.pass(now, proxies);
+        self.earned -= 1.0;
+    }
+
     /// Takes one arrival out, if there is one, with `proxies` sharing the slack.
     pub fn spend(&mut self, proxies: usize, now: Instant) -> bool {
         self.pass(now, proxies);
-        if self.earned >= 1.0 {
-            self.earned -= 1.0;
-            return true;
-        }
         let enough = self.earned + self.slack >= 1.0;
         if enough {
-            self.slack -= 1.0 - self.earned;
-            self.earned = 0.0;
+            let from_slack = (1.0 - self.earned).clamp(0.0, self.slack);
+            self.slack -= from_slack;
+            self.earned -= 1.0 - from_slack;
         }
         enough
     }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -115,12 +115,29 @@
     Running,
 }
 
+/// Where a request of this VM began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// With a caller.
+    Caller,
+    /// With work that runs at the VM's endpoint.
+    Call {
+        /// That work is a repeat, so its calls count as repeats where they go.
+        of_repeat: bool,
+    },
+}
+
+struct Running {
+    request: Box<str>,
+    repeat: bool,
+}
+
 struct Given {
     id: GrantId,
     route: RouteName,
     idempotent: bool,
-    /// The caller's attempt, once it runs.
-    request: Option<Box<str>>,
+    /// What runs there, once it does.
+    run: Option<Running>,
     phase: GrantPhase,
 }
 
@@ -377,7 +394,7 @@
                 id,
                 route: waiter.route,
                 idempotent: waiter.idempotent,
-                request: None,
+                run: None,
                 phase: GrantPhase::Offered,
             });
             offered.push(id);
@@ -436,13 +453,13 @@
         let endpoint = endpoint.as_ref().filter(|it| it.announced.id == grant.endpoint)?;
         let given = given.iter_mut().find(|it| it.id == grant.id && it.phase == GrantPhase::Offered)?;
         given.phase = GrantPhase::Running;
-        given.request = Some(run.request.clone());
+        given.run = Some(Running { request: run.request.clone(), repeat: run.repeat });
         let overdue = pace.mean(&given.route).map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE);
         Some((Rc::clone(&endpoint.pool), given.idempotent, overdue))
     }
 
     async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, overdue: Duration) -> RunEnd {
-        let Run { grant, request, method, target, content, left } = run;
+        let Run { grant, request, method, target, content, left, repeat: _ } = run;
         let mut head = hyper::Request::new(());
         match (method.parse(), target.parse()) {
             (Ok(method), Ok(target)) => {
@@ -574,11 +591,13 @@
         }
     }
 
-    /// Whether a request is a call of work that runs at the endpoint: endpoints put the id of the
-    /// work before the id of its call.
-    pub fn is_call(&self, request: &str) -> bool {
-        let Some((parent, _)) = request.rsplit_once('.') else { return false };
-        self.state.borrow().given.iter().any(|it| it.request.as_deref() == Some(parent))
+    /// Where a request of this VM began. Endpoints put the id of the work before the id of its call;
+    /// an id that only looks so, without that work running here, is a caller's.
+    pub fn origin(&self, request: &str) -> Origin {
+        let Some((parent, _)) = request.rsplit_once('.') else { return Origin::Caller };
+        let state = self.state.borrow();
+        let running = state.given.iter().filter_map(|it| it.run.as_ref()).find(|it| *it.request == *parent);
+        running.map_or(Origin::Caller, |it| Origin::Call { of_repeat: it.repeat })
     }
 
     /// How many runs are under way.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -27,6 +27,7 @@
     proxy::{
         Proxy, client, clock,
         events::{Answered, Event, Failure},
+        guard::Origin,
         headers,
         message::{Ask, Grant, NotRun, Ran, Refusal, Relay, Reserve, Reserved, Run, RunEnd, Unknown, Whole, path},
         peer::{Link, LinkError},
@@ -87,7 +88,7 @@
     /// Place in the configuration's routes.
     route: usize,
     service: ServiceName,
-    call: bool,
+    origin: Origin,
     method: Box<str>,
     target: Box<str>,
     content: Whole,
@@ -186,7 +187,7 @@
     platform::set_caller_service(&mut passed_on, &proxy.settings.borrow().service);
     let job = Job {
         service: proxy.deal(route),
-        call: proxy.guard.is_call(&id),
+        origin: proxy.guard.origin(&id),
         request: id.clone(),
         method: head.method.as_str().into(),
         target: head.uri.path_and_query().map_or("/", |it| it.as_str()).into(),
@@ -328,17 +329,21 @@
         if job.attempts.get() >= job.route().max_attempts || now >= job.give_up {
             return false;
         }
-        let proxies = self.view.borrow().rows().len() + 1;
+        let proxies = self.proxies();
         self.with_allowance(&job.service, |it| it.spend(proxies, now))
     }
 
+    /// How many proxies share the fleet's allowance, as far as this one knows.
+    fn proxies(&self) -> usize {
+        self.view.borrow().rows().len() + 1
+    }
+
     fn with_allowance<T>(&self, service: &str, f: impl FnOnce(&mut Allowance) -> T) -> T {
         let mut state = self.ingress.borrow_mut();
         let at = match state.allowances.binary_search_by(|it| (*it.0).cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                let proxies = self.view.borrow().rows().len() + 1;
-                let allowance = Allowance::new(self.retry_terms(), proxies, clock::now());
+                let allowance = Allowance::new(self.retry_terms(), self.proxies(), clock::now());
                 state.allowances.insert(at, (service.into(), allowance));
                 at
             }
@@ -352,7 +357,11 @@
         let start = clock::now();
         job.attempts.set(job.attempts.get() + 1);
         if job.attempts.get() == 1 {
-            self.with_allowance(&job.service, |it| it.earn(start));
+            let proxies = self.proxies();
+            self.with_allowance(&job.service, |it| match job.origin {
+                Origin::Call { of_repeat: true } => it.charge(proxies, start),
+                Origin::Call { of_repeat: false } | Origin::Caller => it.earn(proxies, start),
+            });
         }
         let until = if job.idempotent() && job.attempts.get() < job.route().max_attempts {
             let usual = self.ingress.borrow().pace.mean(&job.route().name);
@@ -363,6 +372,7 @@
         let run = Run {
             grant: placed.grant.clone(),
             request: job.request.clone(),
+            repeat: job.is_repeat(),
             method: job.method.clone(),
             target: job.target.clone(),
             content: job.content.clone(),
@@ -465,7 +475,7 @@
         let usual = self.ingress.borrow().pace.mean(&route.name).unwrap_or(route.goal / UNKNOWN_WORK);
         let by_goal = job.arrived + route.goal.saturating_sub(usual).max(route.goal / UNKNOWN_WORK);
         let by_deadline = job.give_up.checked_sub(usual).unwrap_or(job.arrived);
-        if job.call { by_deadline } else { by_goal.min(by_deadline) }
+        if job.is_call() { by_deadline } else { by_goal.min(by_deadline) }
     }
 
     fn candidates(&self, job: &Job, tried: &[Box<str>]) -> (Vec<Guarded>, Order) {
@@ -569,7 +579,7 @@
             service: job.service.clone(),
             route: job.route().name.clone(),
             idempotent: job.idempotent(),
-            call: job.call,
+            call: job.is_call(),
             rank: job.route().rank,
             useful_for: patience.saturating_duration_since(clock::now()),
             last_resort,
@@ -613,7 +623,7 @@
             service: &job.service,
             status: resp.status().as_u16(),
             outcome,
-            call: job.call,
+            call: job.is_call(),
             attempts: job.attempts.get(),
             took_ms: took.as_millis(),
             waited_ms: job.waited.get().as_millis(),
@@ -630,6 +640,15 @@
 }
 
 impl Job {
+    fn is_call(&self) -> bool {
+        matches!(self.origin, Origin::Call { .. })
+    }
+
+    /// Whether this run is one more than the caller's request needs: a repeat, or a call of one.
+    fn is_repeat(&self) -> bool {
+        self.attempts.get() > 1 || self.origin == Origin::Call { of_repeat: true }
+    }
+
     fn left(&self) -> Duration {
         self.give_up.saturating_duration_since(clock::now())
     }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -131,6 +131,8 @@
     pub grant: Grant,
     /// The attempt of the caller.
     pub request: Box<str>,
+    /// Whether this is a repeat, or was called by one; its own calls then are, too.
+    pub repeat: bool,
     /// The method.
     pub method: Box<str>,
     /// Path and query.
