A stopping proxy answers all it holds; overdue work gets a second place before the first is given up

Change: patience ends where the process must end; what is still held then gets its true answer (502 if it may have run, else 503). Overdue idempotent work keeps its place while a second one is looked for; the first good answer counts.

--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -98,6 +98,8 @@
     /// When the caller stops waiting.
     caller_deadline: Instant,
     attempts: Cell<u32>,
+    /// Attempts that may have reached an endpoint and have no end yet, or an unknown one.
+    open: Cell<u32>,
     waited: Cell<Duration>,
 }
 
@@ -127,6 +129,7 @@
     }
 }
 
+#[derive(Clone)]
 struct Placed {
     guard: Guarded,
     grant: Grant,
@@ -196,13 +199,17 @@
         give_up: caller_deadline.min(arrived + route.timeout + TIMEOUT_SLACK),
         caller_deadline,
         attempts: Cell::new(0),
+        open: Cell::new(0),
         waited: Cell::default(),
         route: at,
         config: Rc::clone(&config),
     };
     let _running = proxy.count_request();
     let cancelled = Cancelled { proxy: &proxy, job: &job, answered: Cell::new(false) };
-    let verdict = proxy.serve(&job).await;
+    let verdict = tokio::select! {
+        it = proxy.serve(&job) => it,
+        () = proxy.last_call() => job.without_place(NoPlace::Full),
+    };
     cancelled.answered.set(true);
     proxy.tell(&job, verdict)
 }
@@ -254,23 +261,14 @@
     async fn serve(self: &Rc<Self>, job: &Job) -> Verdict {
         let mut tried: Vec<Box<str>> = Vec::new();
         let mut last: Option<Verdict> = None;
-        let mut may_have_run = false;
         let mut moves = 0;
         loop {
             let placed = match self.place(job, &tried).await {
                 Ok(it) => it,
                 Err(_) if last.is_some() => return last.expect("just looked"),
-                Err(_) if may_have_run => return Verdict::Unknown,
-                Err(it) => return Verdict::NotRun(it),
-            };
-            let (end, took) = self.attempt(job, &placed).await;
-            let Some(end) = end else {
-                // Idempotent work that takes too long begins elsewhere, if it may.
-                self.failed(job, &placed, Failure::Overdue, took);
-                tried.push(placed.grant.endpoint);
-                may_have_run = true;
-                continue;
+                Err(it) => return job.without_place(it),
             };
+            let (placed, end, took) = self.attempt(job, placed, &mut tried).await;
             match end {
                 RunEnd::Answered { status, content, took } => {
                     let verdict = Verdict::Answer { status, content };
@@ -282,7 +280,6 @@
                     if !job.idempotent() || !self.may_repeat(job) {
                         return verdict;
                     }
-                    may_have_run = true;
                     last = Some(verdict);
                     tried.push(placed.grant.endpoint);
                 }
@@ -296,16 +293,11 @@
                         job.attempts.set(job.attempts.get() - 1);
                     }
                     if (reached && !self.may_repeat(job)) || moves > FREE_MOVES {
-                        return last.unwrap_or(if may_have_run {
-                            Verdict::Unknown
-                        } else {
-                            Verdict::NotRun(NoPlace::Full)
-                        });
+                        return last.unwrap_or(job.without_place(NoPlace::Full));
                     }
                 }
                 RunEnd::Unknown(why) => {
                     self.failed(job, &placed, Failure::Unknown(why), took);
-                    may_have_run = true;
                     if !job.idempotent() || !self.may_repeat(job) {
                         let late = clock::now() >= job.give_up;
                         return if late { Verdict::OutOfTime { ran: true } } else { Verdict::Unknown };
@@ -351,11 +343,53 @@
         f(&mut state.allowances[at].1)
     }
 
-    /// Sends the work to a reserved place. No end means that idempotent work is overdue, and that
-    /// another attempt was taken out of the allowance.
-    async fn attempt(self: &Rc<Self>, job: &Job, placed: &Placed) -> (Option<RunEnd>, Duration) {
+    /// Sends the work to a reserved place. Idempotent work that is overdue there begins at a second
+    /// place, too, if there is one; the first good answer counts. Returns the place that ended it.
+    async fn attempt(
+        self: &Rc<Self>,
+        job: &Job,
+        placed: Placed,
+        tried: &mut Vec<Box<str>>,
+    ) -> (Placed, RunEnd, Duration) {
+        let start = clock::now();
+        let first = self.run_placed(job, placed.clone());
+        tokio::pin!(first);
+        let overdue = self.overdue(job).saturating_duration_since(start);
+        if let Ok(end) = timeout(overdue, &mut first).await {
+            return (placed, end, clock::now().saturating_duration_since(start));
+        }
+        tried.push(placed.grant.endpoint.clone());
+        let second = tokio::select! {
+            end = &mut first => return (placed, end, clock::now().saturating_duration_since(start)),
+            it = self.place(job, tried) => it.ok().filter(|_| self.may_repeat(job)),
+        };
+        let Some(second) = second else {
+            return (placed, first.await, clock::now().saturating_duration_since(start));
+        };
+        self.failed(job, &placed, Failure::Overdue, clock::now().saturating_duration_since(start));
+        let other = self.run_placed(job, second.clone());
+        tokio::pin!(other);
+        let (end, placed) = tokio::select! {
+            end = &mut first => if is_good(&end) { (end, placed) } else { (other.await, second) },
+            end = &mut other => if is_good(&end) { (end, second) } else { (first.await, placed) },
+        };
+        (placed, end, clock::now().saturating_duration_since(start))
+    }
+
+    /// When work may begin at a second place; its end if it may not.
+    fn overdue(&self, job: &Job) -> Instant {
+        if !job.idempotent() || job.attempts.get() + 1 >= job.route().max_attempts {
+            return job.give_up;
+        }
+        let usual = self.ingress.borrow().pace.mean(&job.route().name);
+        usual.map_or(job.give_up, |it| job.give_up.min(clock::now() + it * OVERDUE_FACTOR + OVERDUE_MORE))
+    }
+
+    /// Sends the work to a reserved place, and counts it.
+    async fn run_placed(self: &Rc<Self>, job: &Job, placed: Placed) -> RunEnd {
         let start = clock::now();
         job.attempts.set(job.attempts.get() + 1);
+        job.open.set(job.open.get() + 1);
         if job.attempts.get() == 1 {
             let proxies = self.proxies();
             self.with_allowance(&job.service, |it| match job.origin {
@@ -363,12 +397,6 @@
                 Origin::Call { of_repeat: false } | Origin::Caller => it.earn(proxies, start),
             });
         }
-        let until = if job.idempotent() && job.attempts.get() < job.route().max_attempts {
-            let usual = self.ingress.borrow().pace.mean(&job.route().name);
-            usual.map_or(job.give_up, |it| job.give_up.min(start + it * OVERDUE_FACTOR + OVERDUE_MORE))
-        } else {
-            job.give_up
-        };
         let run = Run {
             grant: placed.grant.clone(),
             request: job.request.clone(),
@@ -378,14 +406,12 @@
             content: job.content.clone(),
             left: job.give_up.min(job.caller_deadline).saturating_duration_since(start),
         };
-        let run = self.run_at(job, placed, run);
-        tokio::pin!(run);
-        let mut end = timeout(until.saturating_duration_since(start), &mut run).await.ok();
-        if end.is_none() && (until == job.give_up || !self.may_repeat(job)) {
-            let rest = job.left();
-            end = Some(timeout(rest, &mut run).await.unwrap_or(RunEnd::Unknown(Unknown::Silent)));
+        let end = timeout(job.left(), self.run_at(job, &placed, run)).await;
+        let end = end.unwrap_or(RunEnd::Unknown(Unknown::Silent));
+        if !matches!(end, RunEnd::Unknown(_)) {
+            job.open.set(job.open.get() - 1);
         }
-        (end, clock::now().saturating_duration_since(start))
+        end
     }
 
     async fn run_at(self: &Rc<Self>, job: &Job, placed: &Placed, run: Run) -> RunEnd {
@@ -474,7 +500,8 @@
         let route = job.route();
         let usual = self.ingress.borrow().pace.mean(&route.name).unwrap_or(route.goal / UNKNOWN_WORK);
         let by_goal = job.arrived + route.goal.saturating_sub(usual).max(route.goal / UNKNOWN_WORK);
-        let by_deadline = job.give_up.checked_sub(usual).unwrap_or(job.arrived);
+        let end = self.stop_at.get().map_or(job.give_up, |it| job.give_up.min(it));
+        let by_deadline = end.checked_sub(usual).unwrap_or(job.arrived);
         if job.is_call() { by_deadline } else { by_goal.min(by_deadline) }
     }
 
@@ -640,6 +667,12 @@
 }
 
 impl Job {
+    /// What the caller is told when there is no place for (more) attempts: "not run" only if no
+    /// attempt may have reached an endpoint.
+    fn without_place(&self, why: NoPlace) -> Verdict {
+        if self.open.get() > 0 { Verdict::Unknown } else { Verdict::NotRun(why) }
+    }
+
     fn is_call(&self) -> bool {
         matches!(self.origin, Origin::Call { .. })
     }
@@ -654,6 +687,11 @@
     }
 }
 
+/// Whether an end is the answer to give.
+fn is_good(end: &RunEnd) -> bool {
+    matches!(end, RunEnd::Answered { status, .. } if *status < 500)
+}
+
 fn standing(row: &EndpointRow) -> Standing {
     if row.suspect { Standing::Trial } else { Standing::Clean }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -75,8 +75,10 @@
     sequence: Cell<u64>,
     /// Requests of callers that have no answer yet.
     requests: Cell<usize>,
-    /// When SIGTERM came.
-    stopping: Cell<Option<Instant>>,
+    /// Set by SIGTERM: when all requests must have their answers.
+    stop_at: Cell<Option<Instant>>,
+    /// `stop_at` was set.
+    stops: Notify,
     metrics: PrometheusHandle,
 }
 
@@ -121,7 +123,8 @@
             ingress: RefCell::default(),
             sequence: Cell::new(1),
             requests: Cell::new(0),
-            stopping: Cell::new(None),
+            stop_at: Cell::new(None),
+            stops: Notify::new(),
             metrics: metrics_recorder()?,
         })
     }
@@ -164,7 +167,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.stop_at.get().is_some()
     }
 
     /// Whether callers should come here.
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -20,8 +20,10 @@
 /// For how long callers may still come: the platform asks for readiness each second, and two misses
 /// send them elsewhere.
 const LINGER: Duration = Duration::from_millis(3_200);
-/// What is left of the grace when the process ends by itself.
-const LAST: Duration = Duration::from_millis(350);
+/// What is left of the grace when requests get their last answers.
+const LAST: Duration = Duration::from_millis(500);
+/// How long the last answers have to leave.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
 /// Serves until SIGTERM, then finishes what is under way.
 pub(super) async fn wait(proxy: &Rc<Proxy>) -> io::Result<()> {
@@ -57,13 +59,15 @@
 
     async fn finish(self: &Rc<Self>) {
         let start = clock::now();
-        self.stopping.set(Some(start));
+        let grace = self.settings.borrow().grace;
+        let stop_at = start + grace.saturating_sub(LAST);
+        self.stop_at.set(Some(stop_at));
+        self.stops.notify_waiters();
         self.events.emit(&Event::Stopping { why: "SIGTERM", running: self.requests.get() + self.guard.running() });
         self.guard.stop();
         self.guard.changed.notify_one();
-        let grace = self.settings.borrow().grace;
         let removal = self.store.remove_presence(&self.name);
-        let finished = self.finished(start, grace.saturating_sub(LAST));
+        let finished = self.finished(start, stop_at + LAST_ANSWERS);
         let (removed, ()) = tokio::join!(removal, finished);
         if let Err(error) = removed {
             log::debug!("this proxy's object stays in the store: {error}");
@@ -73,12 +77,22 @@
         sleep(Duration::from_millis(20)).await;
     }
 
-    async fn finished(&self, start: Instant, grace: Duration) {
+    /// Waits until a stopping process has to give its last answers.
+    pub(super) async fn last_call(&self) {
+        while self.stop_at.get().is_none() {
+            self.stops.notified().await;
+        }
+        while let Some(left) = self.stop_at.get().and_then(|it| it.checked_duration_since(clock::now())) {
+            sleep(left.max(Duration::from_millis(1))).await;
+        }
+    }
+
+    async fn finished(&self, start: Instant, end: Instant) {
         loop {
             sleep(LOOK_EVERY).await;
-            let passed = clock::now().saturating_duration_since(start);
+            let now = clock::now();
             let idle = self.requests.get() + self.guard.running() == 0;
-            if passed >= grace || (idle && passed >= LINGER) {
+            if now >= end || (idle && now >= start + LINGER) {
                 return;
             }
         }
