--- a/standins/src/idle.rs
+++ b/standins/src/idle.rs
@@ -11,7 +11,7 @@
 
 use jayreach::{
     daemon::{AnnouncedState, Announcement},
-    platform::{StoreClient, apply},
+    store::{StoreClient, apply},
     targets::Targets,
 };
 
