Suspicion: fast failures at once, slow ones in pairs; failed calls are not the endpoint's fault

Beside it, a trial waited until all work begun before the suspicion had ended. Ruled out: leaked places (none), stale views (told within 30 ms).

Change: a failure in under an eighth of the usual time makes a suspect at once; slower ones, overdue work and lost answers only in pairs; a run whose call failed says nothing of its endpoint; trials are counted apart.

--- a/src/decide/suspicion.rs
+++ b/src/decide/suspicion.rs
@@ -1,35 +1,53 @@
 //! Who bears the risk of an endpoint that may be failing gray.
 //!
-//! Load pattern: at any time several endpoints fail most of their work within a millisecond while
-//! their health says all is well, so whoever chooses by load pours work into them. Healthy endpoints
-//! fail one answer in a hundred, gray ones most of theirs: a single bad answer makes gray far
-//! likelier than not. So one bad answer makes a suspect. Suspects get idempotent work only, which a
-//! clean endpoint can repeat, and little of it, until several good answers came in a row.
+//! Load pattern: at any time several endpoints fail most of their work, within milliseconds and for
+//! many seconds, while their health says all is well; whoever chooses by load pours work into them.
+//! Healthy endpoints fail one answer in a hundred too, but after working on it. So a failure in a
+//! small part of the usual time makes a suspect at once, and a slow failure only if another one
+//! follows it. Suspects get idempotent work only, which a clean endpoint can repeat, and little of
+//! it, until several good answers came in a row.
 
 use std::time::{Duration, Instant};
 
-/// Good answers in a row that clear a suspect: at one bad answer in a hundred of a healthy endpoint
-/// and three bad in four of a gray one, three good ones leave a chance of one in three that it is
-/// gray still, and by then most spells of a few seconds are over.
+/// Good answers in a row that clear a suspect: of one that still fails three in four, two in a
+/// hundred pass.
 const CLEARING: u32 = 3;
+/// Doubtful answers in a row that make a suspect: healthy endpoints give two in a row once in some
+/// thousand answers.
+const DOUBTS: u32 = 2;
 /// The pause after the first bad answer: shorter than the spells, longer than a burst of answers
 /// that were under way together.
 const FIRST_REST: Duration = Duration::from_millis(300);
 /// The longest pause between trials: spells last several seconds, and each trial costs a retry.
 const LONGEST_REST: Duration = Duration::from_millis(1_200);
+/// A failure in less than this part of the usual time is a fast one.
+const FAST_PART: u32 = 8;
+/// With no usual time known, a failure is fast below this.
+const FAST: Duration = Duration::from_millis(10);
 
-/// What an endpoint's answers say of it.
+/// What an answer says of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sample {
     /// It did the work.
     Good,
-    /// It failed, broke off, stayed silent, or was full below its slots.
+    /// It failed as healthy endpoints do now and then: after working on it.
+    Doubtful,
+    /// It failed at once, or was full below its slots.
     Bad,
 }
 
+impl Sample {
+    /// What a failure after `took` says, with the usual time of such work.
+    pub fn failure(took: Duration, usual: Option<Duration>) -> Self {
+        if took < usual.map_or(FAST, |it| it / FAST_PART) { Self::Bad } else { Self::Doubtful }
+    }
+}
+
 /// The recent record of one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Record {
+    /// Doubtful answers in a row while it is clean; below `DOUBTS`.
+    doubts: u32,
     /// `None` while it is clean.
     suspect: Option<Suspect>,
 }
@@ -50,36 +68,48 @@
         self.suspect.is_some()
     }
 
-    /// When the next trial may begin; `None` while it is clean.
-    pub fn next_trial(&self) -> Option<Instant> {
-        self.suspect.map(|it| it.rests_until)
-    }
-
     /// Takes a sample in; returns whether suspicion began or ended.
     pub fn sample(&mut self, sample: Sample, now: Instant) -> bool {
         let before = self.is_suspect();
-        self.suspect = match (sample, self.suspect) {
-            (Sample::Good, None) => None,
-            (Sample::Good, Some(it)) if it.good + 1 >= CLEARING => None,
-            (Sample::Good, Some(it)) => Some(Suspect { good: it.good + 1, ..it }),
-            (Sample::Bad, None) => Some(Suspect { good: 0, rests_until: now + FIRST_REST, rest: FIRST_REST }),
-            // Answers that were under way when suspicion began say nothing new.
-            (Sample::Bad, Some(it)) if now < it.rests_until => Some(Suspect { good: 0, ..it }),
-            (Sample::Bad, Some(it)) => {
-                let rest = (it.rest * 3 / 2).min(LONGEST_REST);
-                Some(Suspect { good: 0, rests_until: now + rest, rest })
-            }
-        };
+        match &mut self.suspect {
+            None => self.sample_clean(sample, now),
+            Some(it) => match sample {
+                Sample::Good => {
+                    it.good += 1;
+                    if it.good >= CLEARING {
+                        *self = Self::default();
+                    }
+                }
+                // Answers that were under way when suspicion began say nothing new.
+                Sample::Doubtful | Sample::Bad if now < it.rests_until => it.good = 0,
+                Sample::Doubtful | Sample::Bad => {
+                    let rest = (it.rest * 3 / 2).min(LONGEST_REST);
+                    *it = Suspect { good: 0, rests_until: now + rest, rest };
+                }
+            },
+        }
         before != self.is_suspect()
     }
 
-    /// Whether work may be begun, with `running` at the endpoint already.
+    fn sample_clean(&mut self, sample: Sample, now: Instant) {
+        self.doubts = match sample {
+            Sample::Good => 0,
+            Sample::Doubtful => self.doubts + 1,
+            Sample::Bad => DOUBTS,
+        };
+        if self.doubts >= DOUBTS {
+            self.doubts = 0;
+            self.suspect = Some(Suspect { good: 0, rests_until: now + FIRST_REST, rest: FIRST_REST });
+        }
+    }
+
+    /// Whether work may be begun, with `trials` begun during this suspicion and not ended.
     ///
     /// A trial is one piece of idempotent work at a time, one more for each good answer.
-    pub fn admits(&self, idempotent: bool, running: u32, now: Instant) -> bool {
+    pub fn admits(&self, idempotent: bool, trials: u32, now: Instant) -> bool {
         match self.suspect {
             None => true,
-            Some(it) => idempotent && now >= it.rests_until && running <= it.good,
+            Some(it) => idempotent && now >= it.rests_until && trials <= it.good,
         }
     }
 }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -130,12 +130,16 @@
 struct Running {
     request: Box<str>,
     repeat: bool,
+    /// A call that it made was not answered well, so its own failure is not the endpoint's.
+    call_failed: bool,
 }
 
 struct Given {
     id: GrantId,
     route: RouteName,
     idempotent: bool,
+    /// It was given while the endpoint was suspect.
+    trial: bool,
     /// What runs there, once it does.
     run: Option<Running>,
     phase: GrantPhase,
@@ -335,7 +339,7 @@
             if announced.service != req.service || announced.phase == EndpointPhase::Leaving {
                 return Err(Refusal::Elsewhere);
             }
-            if !req.last_resort && !endpoint.record.admits(req.idempotent, count(state.given.len()), now) {
+            if !req.last_resort && !endpoint.record.admits(req.idempotent, trials(&state.given), now) {
                 return Err(Refusal::Suspect);
             }
             state.next_id += 1;
@@ -379,8 +383,8 @@
         };
         let mut offered = Vec::new();
         while count(given.len()) < limit {
-            let running = count(given.len());
-            let admits = |it: &Waiter| it.last_resort || endpoint.record.admits(it.idempotent, running, now);
+            let trials = trials(given);
+            let admits = |it: &Waiter| it.last_resort || endpoint.record.admits(it.idempotent, trials, now);
             let Some(waiter) = queue.next(now, admits) else { break };
             let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
             let (_, tx) = senders.swap_remove(at);
@@ -394,6 +398,7 @@
                 id,
                 route: waiter.route,
                 idempotent: waiter.idempotent,
+                trial: endpoint.record.is_suspect(),
                 run: None,
                 phase: GrantPhase::Offered,
             });
@@ -453,7 +458,7 @@
         let endpoint = endpoint.as_ref().filter(|it| it.announced.id == grant.endpoint)?;
         let given = given.iter_mut().find(|it| it.id == grant.id && it.phase == GrantPhase::Offered)?;
         given.phase = GrantPhase::Running;
-        given.run = Some(Running { request: run.request.clone(), repeat: run.repeat });
+        given.run = Some(Running { request: run.request.clone(), repeat: run.repeat, call_failed: false });
         let overdue = pace.mean(&given.route).map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE);
         Some((Rc::clone(&endpoint.pool), given.idempotent, overdue))
     }
@@ -474,46 +479,52 @@
         *head.headers_mut() = content.headers();
         let body = content.body.into_vec().into();
         let req = EndpointRequest { request: request.clone(), instance: grant.endpoint.clone(), head, body, left };
+        let start = clock::now();
         let work = pool.run(req);
         tokio::pin!(work);
         let end = match timeout(overdue, &mut work).await {
             Ok(it) => it,
             Err(_) => {
-                self.sample(&grant.endpoint, Sample::Bad, &request, "overdue");
+                self.sample(&grant.endpoint, Sample::Doubtful, &request, "overdue");
                 work.await
             }
         };
-        self.learn(&grant, &end, &request, left);
+        self.learn(&grant, &end, &request, clock::now().saturating_duration_since(start), left);
         self.end(grant.id, end.clone());
         end
     }
 
     /// Takes in what the end of a run says of the endpoint.
-    fn learn(self: &Rc<Self>, grant: &Grant, end: &RunEnd, request: &str, left: Duration) {
-        match end {
-            RunEnd::Answered { status, took, .. } if *status < 500 => {
-                let mut state = self.state.borrow_mut();
-                let route = state.given.iter().find(|it| it.id == grant.id).map(|it| it.route.clone());
-                if let Some(route) = route {
-                    state.pace.record(&route, *took);
-                }
-                drop(state);
-                self.sample(&grant.endpoint, Sample::Good, request, "answered");
-            }
-            // Out of time, and it may not have been much.
-            RunEnd::Answered { status: 504, took, .. } if *took + Duration::from_millis(100) >= left => (),
-            RunEnd::Answered { .. } => self.sample(&grant.endpoint, Sample::Bad, request, "failed"),
-            RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) | RunEnd::NotRun(NotRun::NoGrant) => (),
-            RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => {
-                self.sample(&grant.endpoint, Sample::Bad, request, "broken");
+    fn learn(self: &Rc<Self>, grant: &Grant, end: &RunEnd, request: &str, took: Duration, left: Duration) {
+        /// An endpoint that ends this close to its deadline ran out of time.
+        const CLOSE: Duration = Duration::from_millis(100);
+        let state = self.state.borrow();
+        let Some(given) = state.given.iter().find(|it| it.id == grant.id) else { return };
+        let route = given.route.clone();
+        let call_failed = given.run.as_ref().is_some_and(|it| it.call_failed);
+        let failure = Sample::failure(took, state.pace.mean(&route));
+        drop(state);
+        let (sample, why) = match end {
+            RunEnd::Answered { status, .. } if *status < 500 => {
+                self.state.borrow_mut().pace.record(&route, took);
+                (Sample::Good, "answered")
             }
-            RunEnd::NotRun(NotRun::Declined) => self.sample(&grant.endpoint, Sample::Bad, request, "declined"),
+            RunEnd::Answered { status: 504, .. } if took + CLOSE >= left => return,
+            RunEnd::Answered { .. } if call_failed => return,
+            RunEnd::Answered { .. } => (failure, "failed"),
+            RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) | RunEnd::NotRun(NotRun::NoGrant) => return,
+            RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => (failure, "broken"),
+            RunEnd::NotRun(NotRun::Declined) => (Sample::Bad, "declined"),
             RunEnd::NotRun(NotRun::NoConnection) => {
-                self.sample(&grant.endpoint, Sample::Bad, request, "no connection");
                 self.forget_if_silent(&grant.endpoint);
+                (Sample::Bad, "no connection")
             }
-            RunEnd::NotRun(NotRun::OtherInstance) => self.leave(&grant.endpoint, "another instance answered"),
-        }
+            RunEnd::NotRun(NotRun::OtherInstance) => {
+                self.leave(&grant.endpoint, "another instance answered");
+                return;
+            }
+        };
+        self.sample(&grant.endpoint, sample, request, why);
     }
 
     fn sample(self: &Rc<Self>, id: &str, sample: Sample, request: &str, why: &str) {
@@ -600,6 +611,16 @@
         running.map_or(Origin::Caller, |it| Origin::Call { of_repeat: it.repeat })
     }
 
+    /// A call of work that runs here was not answered well.
+    pub fn call_failed(&self, request: &str) {
+        let Some((parent, _)) = request.rsplit_once('.') else { return };
+        let mut state = self.state.borrow_mut();
+        let mut running = state.given.iter_mut().filter_map(|it| it.run.as_mut());
+        if let Some(it) = running.find(|it| *it.request == *parent) {
+            it.call_failed = true;
+        }
+    }
+
     /// How many runs are under way.
     pub fn running(&self) -> usize {
         self.state.borrow().given.len()
@@ -630,6 +651,10 @@
     u32::try_from(number).unwrap_or(u32::MAX)
 }
 
+fn trials(given: &[Given]) -> u32 {
+    count(given.iter().filter(|it| it.trial).count())
+}
+
 /// A wish for a place, taken back when its future is dropped.
 struct Wish<'a> {
     guard: &'a Rc<Guard>,
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -643,6 +643,9 @@
         };
         let took = clock::now().saturating_duration_since(job.arrived);
         let route = job.route();
+        if job.is_call() && !resp.status().is_success() {
+            self.guard.call_failed(&job.request);
+        }
         self.events.emit(&Event::Answered(Answered {
             request: &job.request,
             route: &route.name,
