The allowance for repeats is kept by guards; no repeat of work whose calls have none left

Change: guards see every arrival at their endpoint and keep the account of their service's allowance; each reply tells when it is used up; a guard gives no place to a repeat of work that calls such a service.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -1,78 +1,88 @@
-//! Each proxy's part of the fleet's allowance for arrivals beyond a request's first.
+//! Each guard's part of the fleet's allowance for arrivals beyond a request's first.
 //!
-//! Load pattern: gray endpoints and stalls make every ingress want to send work again at once. The
-//! fleet may do so for a share of its requests and a fixed slack in each window. No messages: each
-//! proxy takes the share of its own requests and an equal part of half the slack; the other half is
-//! the margin for proxies that come and go, and for calls that repeated work makes.
+//! Load pattern: gray endpoints, endpoints that shed, and stalls make every ingress want to send work
+//! again at once. The fleet may do so, at each service, for a share of its requests and a fixed slack
+//! in each window. No messages: guards see every arrival at their endpoint, and each keeps the rule
+//! for these with an equal part of half the slack, over its own sliding window, so that the sum over
+//! the service's guards keeps it too. The other half of the slack is the margin for guards that come
+//! and go, and for calls of repeated work, which are counted and can't be held back.
 
 use std::time::{Duration, Instant};
 
 /// The part of the slack that is handed out.
 const SLACK_USED: f64 = 0.5;
+/// Into how many steps a window is cut.
+const STEPS: usize = 20;
 
-/// What the fleet may spend on one service.
+/// What the fleet may spend on each service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Terms {
     /// Arrivals beyond the first, as a share of requests.
     pub ratio: f64,
-    /// More of them in each window, for the whole fleet.
+    /// More of them in each window, for all guards of a service together.
     pub slack: f64,
     /// The window.
     pub window: Duration,
 }
 
-/// The allowance of one proxy for one service.
+/// What happened in one step of the window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Step {
+    first: u32,
+    repeats: u32,
+}
+
+/// The allowance at one guard.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Allowance {
     terms: Terms,
-    /// Saved from requests; the oldest savings, and debts, lapse with the window.
-    earned: f64,
-    /// Saved from the slack.
-    slack: f64,
-    at: Instant,
+    /// The last steps; the current one is `steps[current % STEPS]`.
+    steps: [Step; STEPS],
+    /// The number of the current step since `start`.
+    current: u64,
+    start: Instant,
 }
 
 impl Allowance {
-    /// One with half of its slack, at `now`.
-    pub fn new(terms: Terms, proxies: usize, now: Instant) -> Self {
-        Self { terms, earned: 0.0, slack: part(&terms, proxies) / 2.0, at: now }
+    /// One that begins at `now`.
+    pub fn new(terms: Terms, now: Instant) -> Self {
+        Self { terms, steps: [Step::default(); STEPS], current: 0, start: now }
     }
 
-    /// Counts a request's first arrival, with `proxies` sharing the slack.
-    pub fn earn(&mut self, proxies: usize, now: Instant) {
-        self.pass(now, proxies);
-        self.earned += self.terms.ratio;
+    /// Counts an arrival.
+    pub fn count(&mut self, repeat: bool, now: Instant) {
+        let step = self.step(now);
+        if repeat {
+            step.repeats += 1;
+        } else {
+            step.first += 1;
+        }
     }
 
-    /// Counts an arrival that can't be held back: a call of work that is itself a repeat.
-    pub fn charge(&mut self, proxies: usize, now: Instant) {
-        self.pass(now, proxies);
-        self.earned -= 1.0;
+    /// Takes back a repeat that did not arrive after all.
+    pub fn refund(&mut self, now: Instant) {
+        let step = self.step(now);
+        step.repeats = step.repeats.saturating_sub(1);
     }
 
-    /// Takes one arrival out, if there is one, with `proxies` sharing the slack.
-    pub fn spend(&mut self, proxies: usize, now: Instant) -> bool {
-        self.pass(now, proxies);
-        let enough = self.earned + self.slack >= 1.0;
-        if enough {
-            let from_slack = (1.0 - self.earned).clamp(0.0, self.slack);
-            self.slack -= from_slack;
-            self.earned -= 1.0 - from_slack;
-        }
-        enough
+    /// Whether one more repeat may arrive, with `guards` sharing the slack.
+    pub fn allows(&mut self, guards: usize, now: Instant) -> bool {
+        self.step(now);
+        let first: u32 = self.steps.iter().map(|it| it.first).sum();
+        let repeats: u32 = self.steps.iter().map(|it| it.repeats).sum();
+        let slack = self.terms.slack * SLACK_USED / guards.max(1) as f64;
+        f64::from(repeats) + 1.0 <= f64::from(first) * self.terms.ratio + slack
     }
 
-    /// Lets savings lapse and the slack come back.
-    fn pass(&mut self, now: Instant, proxies: usize) {
-        let passed = now.saturating_duration_since(self.at).as_secs_f64() / self.terms.window.as_secs_f64();
-        self.at = self.at.max(now);
-        self.earned *= 1.0 - passed.min(1.0);
-        let part = part(&self.terms, proxies);
-        // In any window at most the whole part is spent: half saved, half coming back.
-        self.slack = (self.slack + part / 2.0 * passed).min(part / 2.0);
+    /// The current step; those that lie a window back are emptied.
+    fn step(&mut self, now: Instant) -> &mut Step {
+        let length = self.terms.window / STEPS as u32;
+        let passed = now.saturating_duration_since(self.start).as_nanos() / length.as_nanos().max(1);
+        let at = u64::try_from(passed).unwrap_or(u64::MAX).max(self.current);
+        for step in (self.current + 1..=at).take(STEPS) {
+            self.steps[step as usize % STEPS] = Step::default();
+        }
+        self.current = at;
+        &mut self.steps[at as usize % STEPS]
     }
 }
-
-fn part(terms: &Terms, proxies: usize) -> f64 {
-    terms.slack * SLACK_USED / proxies.max(1) as f64
-}
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -27,6 +27,10 @@
     pub arrived: Instant,
     /// After this it can't be in time.
     pub useful_until: Instant,
+    /// Whether it needs an allowance for repeats.
+    pub needs_allowance: bool,
+    /// Whether it counts as a repeat.
+    pub repeat: bool,
     /// Its class.
     pub route: Box<str>,
 }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     decide::{
+        allowance::{Allowance, Terms},
         pace::Pace,
         suspicion::{Record, Sample},
         wait_queue::{WaitQueue, Waiter, WaiterId},
@@ -23,7 +24,7 @@
         clock,
         endpoint::{EndpointPool, EndpointRequest},
         events::{Event, Events},
-        message::{Grant, GrantId, NotRun, Refusal, Reserve, Run, RunEnd, Unknown},
+        message::{Arrival, Grant, GrantId, NotRun, Refusal, Reserve, Run, RunEnd, Unknown},
         routes::{RouteName, ServiceName},
         view::{EndpointId, EndpointRow, Incarnation},
     },
@@ -90,6 +91,15 @@
     }
 }
 
+/// What the proxy knows beyond its guard that bears on a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Surroundings {
+    /// How many guards share the allowance of the service.
+    pub guards: usize,
+    /// A service that such work calls has no allowance left: a repeat would call it again.
+    pub calls_tight: bool,
+}
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
@@ -138,6 +148,8 @@
     id: GrantId,
     route: RouteName,
     idempotent: bool,
+    /// It counts as a repeat.
+    repeat: bool,
     /// It was given while the endpoint was suspect.
     trial: bool,
     /// What runs there, once it does.
@@ -162,7 +174,6 @@
 
 type PlaceSender = oneshot::Sender<Result<Grant, Refusal>>;
 
-#[derive(Default)]
 struct State {
     endpoint: Option<Endpoint>,
     /// Former incarnations at this address; the newest last.
@@ -175,6 +186,11 @@
     /// In the order of their ends.
     ended: Vec<Ended>,
     pace: Pace,
+    allowance: Allowance,
+    /// How many guards share the allowance of the endpoint's service.
+    guards: usize,
+    /// Which services the work of a class called here; sorted.
+    calls: Vec<(RouteName, ServiceName)>,
     next_id: u64,
 }
 
@@ -192,12 +208,24 @@
 
 impl Guard {
     /// A guard that knows no endpoint yet.
-    pub fn new(incarnation: Incarnation, announce_every: Duration, events: Rc<Events>) -> Self {
+    pub fn new(incarnation: Incarnation, announce_every: Duration, terms: Terms, events: Rc<Events>) -> Self {
         Self {
             incarnation,
             announce_every,
             events,
-            state: RefCell::default(),
+            state: RefCell::new(State {
+                endpoint: None,
+                retired: Vec::new(),
+                queue: WaitQueue::default(),
+                senders: Vec::new(),
+                given: Vec::new(),
+                ended: Vec::new(),
+                pace: Pace::default(),
+                allowance: Allowance::new(terms, clock::now()),
+                guards: 1,
+                calls: Vec::new(),
+                next_id: 0,
+            }),
             run_ended: Notify::new(),
             changed: Notify::new(),
         }
@@ -329,7 +357,7 @@
     }
 
     /// Waits for a place. Dropping the future takes the wish, or the place, back.
-    pub async fn reserve(self: &Rc<Self>, req: &Reserve) -> Result<Grant, Refusal> {
+    pub async fn reserve(self: &Rc<Self>, req: &Reserve, known: Surroundings) -> Result<Grant, Refusal> {
         let now = clock::now();
         let (tx, rx) = oneshot::channel();
         let id = {
@@ -342,6 +370,11 @@
             if !req.last_resort && !endpoint.record.admits(req.idempotent, trials(&state.given), now) {
                 return Err(Refusal::Suspect);
             }
+            state.guards = known.guards;
+            let allowed = !known.calls_tight && state.allowance.allows(known.guards, now);
+            if req.arrival == Arrival::Repeat && !allowed {
+                return Err(Refusal::NoAllowance);
+            }
             state.next_id += 1;
             let id = state.next_id;
             state.queue.push(Waiter {
@@ -352,6 +385,8 @@
                 last_resort: req.last_resort,
                 arrived: now,
                 useful_until: now + req.useful_for,
+                needs_allowance: req.arrival == Arrival::Repeat,
+                repeat: req.arrival != Arrival::First,
                 route: req.route.clone(),
             });
             state.senders.push((id, tx));
@@ -366,7 +401,7 @@
     pub(super) fn pump(self: &Rc<Self>) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let State { endpoint, queue, senders, given, next_id, .. } = &mut *state;
+        let State { endpoint, queue, senders, given, next_id, allowance, guards, .. } = &mut *state;
         let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
         let Some(endpoint) = serving else {
             queue.drain();
@@ -384,7 +419,11 @@
         let mut offered = Vec::new();
         while count(given.len()) < limit {
             let trials = trials(given);
-            let admits = |it: &Waiter| it.last_resort || endpoint.record.admits(it.idempotent, trials, now);
+            let allowed = allowance.allows(*guards, now);
+            let admits = |it: &Waiter| {
+                (it.last_resort || endpoint.record.admits(it.idempotent, trials, now))
+                    && (allowed || !it.needs_allowance)
+            };
             let Some(waiter) = queue.next(now, admits) else { break };
             let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
             let (_, tx) = senders.swap_remove(at);
@@ -394,23 +433,27 @@
             if tx.send(Ok(grant)).is_err() {
                 continue;
             }
+            allowance.count(waiter.repeat, now);
             given.push(Given {
                 id,
                 route: waiter.route,
                 idempotent: waiter.idempotent,
+                repeat: waiter.repeat,
                 trial: endpoint.record.is_suspect(),
                 run: None,
                 phase: GrantPhase::Offered,
             });
             offered.push(id);
         }
-        if endpoint.record.is_suspect() {
-            // Work that the suspect must not get is better off elsewhere.
-            let admits = |it: &Waiter| it.last_resort || (it.idempotent && endpoint.record.admits(true, 0, now));
-            while let Some(waiter) = queue.next(now, |it| !admits(it)) {
-                if let Some(at) = senders.iter().position(|it| it.0 == waiter.id) {
-                    _ = senders.swap_remove(at).1.send(Err(Refusal::Suspect));
-                }
+        // Work that can't begin here is better off elsewhere.
+        let suspect = |it: &Waiter| !it.last_resort && !endpoint.record.admits(it.idempotent, 0, now);
+        let allowed = allowance.allows(*guards, now);
+        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowed);
+        while let Some(waiter) = queue.next(now, refused) {
+            let why = if suspect(&waiter) { Refusal::Suspect } else { Refusal::NoAllowance };
+            if let Some(at) = senders.iter().position(|it| it.0 == waiter.id) {
+                // An ingress that is gone needs no answer.
+                _ = senders.swap_remove(at).1.send(Err(why));
             }
         }
         drop(state);
@@ -559,6 +602,9 @@
         let Some(at) = state.given.iter().position(|it| it.id == grant) else { return };
         let given = state.given.swap_remove(at);
         let unused = end == RunEnd::NotRun(NotRun::NoGrant);
+        if unused && given.repeat {
+            state.allowance.refund(now);
+        }
         if !given.idempotent || unused {
             state.ended.push(Ended { id: grant, end, at: now });
         }
@@ -602,13 +648,30 @@
         }
     }
 
-    /// Where a request of this VM began. Endpoints put the id of the work before the id of its call;
-    /// an id that only looks so, without that work running here, is a caller's.
-    pub fn origin(&self, request: &str) -> Origin {
+    /// Where a request of this VM for `service` began. Endpoints put the id of the work before the
+    /// id of its call; an id that only looks so, without that work running here, is a caller's.
+    pub fn origin(&self, request: &str, service: &str) -> Origin {
         let Some((parent, _)) = request.rsplit_once('.') else { return Origin::Caller };
-        let state = self.state.borrow();
-        let running = state.given.iter().filter_map(|it| it.run.as_ref()).find(|it| *it.request == *parent);
-        running.map_or(Origin::Caller, |it| Origin::Call { of_repeat: it.repeat })
+        let mut state = self.state.borrow_mut();
+        let State { given, calls, .. } = &mut *state;
+        let mut running = given.iter().filter_map(|it| Some((it, it.run.as_ref()?)));
+        let Some((given, run)) = running.find(|it| *it.1.request == *parent) else { return Origin::Caller };
+        if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(&given.route, service))) {
+            calls.insert(at, (given.route.clone(), service.into()));
+        }
+        Origin::Call { of_repeat: run.repeat }
+    }
+
+    /// Whether work of `route` called a service here for which `tight` holds.
+    pub fn calls_any(&self, route: &str, tight: impl Fn(&str) -> bool) -> bool {
+        self.state.borrow().calls.iter().any(|it| *it.0 == *route && tight(&it.1))
+    }
+
+    /// Whether no repeat may arrive now.
+    pub fn allowance_used(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let guards = state.guards;
+        !state.allowance.allows(guards, clock::now())
     }
 
     /// A call of work that runs here was not answered well.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -18,7 +18,6 @@
 
 use crate::{
     decide::{
-        allowance::Allowance,
         pace::Pace,
         place::{Candidate, Order, Standing, order},
         shares::Shares,
@@ -27,9 +26,11 @@
     proxy::{
         Proxy, client, clock,
         events::{Answered, Event, Failure},
-        guard::Origin,
+        guard::{Origin, Surroundings},
         headers,
-        message::{Ask, Grant, NotRun, Ran, Refusal, Relay, Reserve, Reserved, Run, RunEnd, Unknown, Whole, path},
+        message::{
+            Arrival, Ask, Grant, NotRun, Ran, Refusal, Relay, Reserve, Reserved, Run, RunEnd, Unknown, Whole, path,
+        },
         peer::{Link, LinkError},
         routes::{Config, Repeat, Route, RouteName, ServiceName},
         server::{Answer, answer},
@@ -42,6 +43,8 @@
 const ASK_ANOTHER_AFTER: Duration = Duration::from_millis(15);
 /// How many guards hold a wish at a time: more shorten the wait little and cost calls.
 const WISHES: usize = 4;
+/// How long a guard's word that its allowance is used up counts: a tenth of the usual window.
+const TIGHT_FOR: Duration = Duration::from_secs(1);
 /// How often an attempt may be moved on without having reached an endpoint.
 const FREE_MOVES: u32 = 6;
 /// How much later than the route's timeout an endpoint's own answer may come.
@@ -65,8 +68,9 @@
 pub(super) struct IngressState {
     /// Sorted by route.
     shares: Vec<(RouteName, Shares)>,
-    /// Sorted by service.
-    allowances: Vec<(ServiceName, Allowance)>,
+    /// Services whose guards told that their allowance is used up, and until when that counts;
+    /// sorted by service.
+    tight: Vec<(ServiceName, Instant)>,
     /// How long attempts take at endpoints.
     pace: Pace,
 }
@@ -188,9 +192,10 @@
     let caller_deadline = arrived + platform::deadline(&head.headers).unwrap_or(route.timeout);
     let mut passed_on = headers::end_to_end(&head.headers);
     platform::set_caller_service(&mut passed_on, &proxy.settings.borrow().service);
+    let service = proxy.deal(route);
     let job = Job {
-        service: proxy.deal(route),
-        origin: proxy.guard.origin(&id),
+        origin: proxy.guard.origin(&id, &service),
+        service,
         request: id.clone(),
         method: head.method.as_str().into(),
         target: head.uri.path_and_query().map_or("/", |it| it.as_str()).into(),
@@ -237,6 +242,35 @@
 }
 
 impl Proxy {
+    /// What this proxy knows that bears on a place at its guard.
+    pub(super) fn surroundings(&self, req: &Reserve) -> Surroundings {
+        let now = clock::now();
+        let state = self.ingress.borrow();
+        let tight = |service: &str| state.tight.iter().any(|it| *it.0 == *service && now < it.1);
+        Surroundings { guards: self.guards_of(&req.service), calls_tight: self.guard.calls_any(&req.route, tight) }
+    }
+
+    /// A guard of `service` told whether its allowance for repeats is used up.
+    pub(super) fn note_allowance(&self, service: &str, used: bool) {
+        if !used {
+            return;
+        }
+        let until = clock::now() + TIGHT_FOR;
+        let tight = &mut self.ingress.borrow_mut().tight;
+        match tight.binary_search_by(|it| (*it.0).cmp(service)) {
+            Ok(at) => tight[at].1 = until,
+            Err(at) => tight.insert(at, (service.into(), until)),
+        }
+    }
+
+    /// How many guards of a service share its allowance, as far as this proxy knows.
+    fn guards_of(&self, service: &str) -> usize {
+        let serves = |it: &EndpointRow| *it.service == *service;
+        let others =
+            self.view.borrow().rows().iter().filter_map(|it| it.endpoint.as_ref()).filter(|it| serves(it)).count();
+        others + usize::from(self.guard.row().as_ref().is_some_and(serves))
+    }
+
     /// The service for the next request of a route.
     fn deal(&self, route: &Route) -> ServiceName {
         if let [only] = &route.clusters[..] {
@@ -315,32 +349,9 @@
         metrics::counter!("jayreach_attempts_failed_total", "service" => job.service.to_string()).increment(1);
     }
 
-    /// Whether the work may be sent to one more endpoint; takes it out of the allowance.
+    /// Whether the work may be sent to one more endpoint, if its guard has an allowance for it.
     fn may_repeat(&self, job: &Job) -> bool {
-        let now = clock::now();
-        if job.attempts.get() >= job.route().max_attempts || now >= job.give_up {
-            return false;
-        }
-        let proxies = self.proxies();
-        self.with_allowance(&job.service, |it| it.spend(proxies, now))
-    }
-
-    /// How many proxies share the fleet's allowance, as far as this one knows.
-    fn proxies(&self) -> usize {
-        self.view.borrow().rows().len() + 1
-    }
-
-    fn with_allowance<T>(&self, service: &str, f: impl FnOnce(&mut Allowance) -> T) -> T {
-        let mut state = self.ingress.borrow_mut();
-        let at = match state.allowances.binary_search_by(|it| (*it.0).cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                let allowance = Allowance::new(self.retry_terms(), self.proxies(), clock::now());
-                state.allowances.insert(at, (service.into(), allowance));
-                at
-            }
-        };
-        f(&mut state.allowances[at].1)
+        job.attempts.get() < job.route().max_attempts && clock::now() < job.give_up
     }
 
     /// Sends the work to a reserved place. Idempotent work that is overdue there begins at a second
@@ -361,7 +372,7 @@
         tried.push(placed.grant.endpoint.clone());
         let second = tokio::select! {
             end = &mut first => return (placed, end, clock::now().saturating_duration_since(start)),
-            it = self.place(job, tried) => it.ok().filter(|_| self.may_repeat(job)),
+            it = self.place(job, tried) => it.ok(),
         };
         let Some(second) = second else {
             return (placed, first.await, clock::now().saturating_duration_since(start));
@@ -390,17 +401,10 @@
         let start = clock::now();
         job.attempts.set(job.attempts.get() + 1);
         job.open.set(job.open.get() + 1);
-        if job.attempts.get() == 1 {
-            let proxies = self.proxies();
-            self.with_allowance(&job.service, |it| match job.origin {
-                Origin::Call { of_repeat: true } => it.charge(proxies, start),
-                Origin::Call { of_repeat: false } | Origin::Caller => it.earn(proxies, start),
-            });
-        }
         let run = Run {
             grant: placed.grant.clone(),
             request: job.request.clone(),
-            repeat: job.is_repeat(),
+            repeat: job.attempts.get() > 1 || job.origin == Origin::Call { of_repeat: true },
             method: job.method.clone(),
             target: job.target.clone(),
             content: job.content.clone(),
@@ -606,13 +610,14 @@
             service: job.service.clone(),
             route: job.route().name.clone(),
             idempotent: job.idempotent(),
+            arrival: job.next_arrival(),
             call: job.is_call(),
             rank: job.route().rank,
             useful_for: patience.saturating_duration_since(clock::now()),
             last_resort,
         };
         let link = match guard {
-            Guarded::Here => return (at, self.guard.reserve(&req).await),
+            Guarded::Here => return (at, self.guard.reserve(&req, self.surroundings(&req)).await),
             Guarded::There(_, link) => link,
         };
         link.asking();
@@ -680,9 +685,13 @@
         matches!(self.origin, Origin::Call { .. })
     }
 
-    /// Whether this run is one more than the caller's request needs: a repeat, or a call of one.
-    fn is_repeat(&self) -> bool {
-        self.attempts.get() > 1 || self.origin == Origin::Call { of_repeat: true }
+    /// What the next attempt is to the allowance of its guard.
+    fn next_arrival(&self) -> Arrival {
+        match self.origin {
+            _ if self.attempts.get() > 0 => Arrival::Repeat,
+            Origin::Call { of_repeat: true } => Arrival::CallOfRepeat,
+            Origin::Call { of_repeat: false } | Origin::Caller => Arrival::First,
+        }
     }
 
     fn left(&self) -> Duration {
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -35,7 +35,10 @@
 impl Proxy {
     /// Takes in what a peer told with a reply.
     pub(super) fn take_news(self: &Rc<Self>, news: News) {
-        let News { row, running, waiting } = news;
+        let News { row, running, waiting, allowance_used } = news;
+        if let Some(it) = &row.endpoint {
+            self.note_allowance(&it.service, allowance_used);
+        }
         if let Some(link) = self.link(&row.name) {
             link.told(running + waiting, clock::now());
         }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -27,6 +27,17 @@
     pub(crate) const CONFIG: &str = "/config";
 }
 
+/// What an attempt is to the allowance for repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Arrival {
+    /// The first of its request.
+    First,
+    /// One more of its request; needs an allowance.
+    Repeat,
+    /// The first of a call of repeated work; counts as a repeat, but running work waits for it.
+    CallOfRepeat,
+}
+
 /// What a reserved place is for.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Reserve {
@@ -40,6 +51,8 @@
     pub route: RouteName,
     /// Whether the work may run again.
     pub idempotent: bool,
+    /// What it is to the allowance for repeats.
+    pub arrival: Arrival,
     /// Whether running work waits for this.
     pub call: bool,
     /// The class's rank; 0 goes first.
@@ -59,6 +72,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Its allowance for repeats is used up.
+    pub allowance_used: bool,
 }
 
 /// Why a guard gives no place. Nothing has run.
@@ -70,6 +85,8 @@
     Suspect,
     /// What waits already is more than can be served in time.
     Full,
+    /// The endpoint has had as many repeats as it may.
+    NoAllowance,
 }
 
 /// The answer to [`Reserve`].
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -108,12 +108,13 @@
 impl Proxy {
     fn new(settings: Settings, path: &Path, events: Rc<Events>) -> Result<Self, Error> {
         let incarnation = rand::random();
+        let terms = Terms { ratio: settings.retry_ratio, slack: settings.retry_slack, window: settings.retry_window };
         Ok(Self {
             name: settings.name.clone(),
             incarnation,
             settings_path: path.into(),
             store: Store::new(settings.store),
-            guard: Rc::new(Guard::new(incarnation, settings.announce_every, Rc::clone(&events))),
+            guard: Rc::new(Guard::new(incarnation, settings.announce_every, terms, Rc::clone(&events))),
             settings: RefCell::new(Rc::new(settings)),
             events,
             config: RefCell::default(),
@@ -161,11 +162,6 @@
         }
     }
 
-    fn retry_terms(&self) -> Terms {
-        let settings = self.settings.borrow();
-        Terms { ratio: settings.retry_ratio, slack: settings.retry_slack, window: settings.retry_window }
-    }
-
     fn is_stopping(&self) -> bool {
         self.stop_at.get().is_some()
     }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -67,7 +67,7 @@
 impl Proxy {
     fn news(&self) -> News {
         let (running, waiting) = self.guard.load();
-        News { row: self.row(), running, waiting }
+        News { row: self.row(), running, waiting, allowance_used: self.guard.allowance_used() }
     }
 
     async fn reserve(self: &Rc<Self>, req: Reserve) -> Reserved {
@@ -77,7 +77,7 @@
             // Its answer tells the version, and the configuration is fetched.
             it.greet.notify_one();
         }
-        let result = self.guard.reserve(&req).await;
+        let result = self.guard.reserve(&req, self.surroundings(&req)).await;
         Reserved { news: self.news(), result }
     }
 
