One suspect a request; cuts hold no wishes; the allowance leaves a part to calls

Ruled out: waiting as such (mapa is at its capacity of 16 clean endpoints from 2 to 16 s).

Change: idempotent work asks one suspect; one more guard may be asked each 60 ms; callers' repeats may use six tenths of the allowance.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -11,6 +11,9 @@
 
 /// The part of the slack that is handed out.
 const SLACK_USED: f64 = 0.5;
+/// The part that repeats of callers' requests may use; the rest is for repeats of calls, since a call
+/// that fails wastes the work that waits for it, and a caller that is refused can come back.
+const CALLERS_PART: f64 = 0.6;
 /// Into how many steps a window is cut.
 const STEPS: usize = 20;
 
@@ -65,13 +68,15 @@
         step.repeats = step.repeats.saturating_sub(1);
     }
 
-    /// Whether one more repeat may arrive, with `guards` sharing the slack.
-    pub fn allows(&mut self, guards: usize, now: Instant) -> bool {
+    /// Whether one more repeat may arrive, of a call or of a caller's request, with `guards` sharing
+    /// the slack.
+    pub fn allows(&mut self, call: bool, guards: usize, now: Instant) -> bool {
         self.step(now);
         let first: u32 = self.steps.iter().map(|it| it.first).sum();
         let repeats: u32 = self.steps.iter().map(|it| it.repeats).sum();
         let slack = self.terms.slack * SLACK_USED / guards.max(1) as f64;
-        f64::from(repeats) + 1.0 <= f64::from(first) * self.terms.ratio + slack
+        let part = if call { 1.0 } else { CALLERS_PART };
+        f64::from(repeats) + 1.0 <= (f64::from(first) * self.terms.ratio + slack) * part
     }
 
     /// The current step; those that lie a window back are emptied.
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -51,32 +51,43 @@
 }
 
 /// Orders the candidates for one piece of work.
+///
+/// Of the suspects, idempotent work asks one only: most of them rest, and each refusal costs a round
+/// trip.
 pub fn order(candidates: &[Candidate], idempotent: bool, rng: &mut impl Rng) -> Order {
-    let usable = |it: &Candidate| it.standing == Standing::Clean && !it.path_rests;
-    let last_resort = !candidates.iter().any(usable);
-    let trial = idempotent && rng.random_bool(TRIAL_CHANCE);
-    let mut scored: Vec<(f32, usize)> = Vec::with_capacity(candidates.len());
-    for (at, it) in candidates.iter().enumerate() {
-        if let Some(score) = score(it, idempotent, trial, last_resort) {
-            scored.push((score + rng.random_range(0.0..JITTER), at));
+    let clean = |it: &Candidate| it.standing == Standing::Clean;
+    let last_resort = !candidates.iter().any(|it| clean(it) && !it.path_rests);
+    let mut ask = sorted(candidates, |it| last_resort || clean(it), rng);
+    if idempotent && !last_resort {
+        let suspects = sorted(candidates, |it| it.standing == Standing::Trial && !it.path_rests, rng);
+        if !suspects.is_empty() {
+            let one = suspects[rng.random_range(0..suspects.len())];
+            let at = if rng.random_bool(TRIAL_CHANCE) { 0 } else { ask.len() };
+            ask.insert(at, one);
         }
     }
+    Order { ask, last_resort }
+}
+
+/// The places of those that fit, the best first.
+fn sorted(candidates: &[Candidate], fits: impl Fn(&Candidate) -> bool, rng: &mut impl Rng) -> Vec<usize> {
+    let fitting = candidates.iter().enumerate().filter(|(_, it)| fits(it));
+    let mut scored: Vec<(f32, usize)> =
+        fitting.map(|(at, it)| (score(it) + rng.random_range(0.0..JITTER), at)).collect();
     scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-    Order { ask: scored.into_iter().map(|(_, at)| at).collect(), last_resort }
+    scored.into_iter().map(|(_, at)| at).collect()
 }
 
-/// The lower, the better; `None` for what must not be asked.
-fn score(candidate: &Candidate, idempotent: bool, trial: bool, last_resort: bool) -> Option<f32> {
+/// The lower, the better.
+fn score(candidate: &Candidate) -> f32 {
     /// Whole tiers lie this far apart.
     const TIER: f32 = 1_000.0;
-    let tier = match candidate.standing {
+    let standing = match candidate.standing {
         Standing::Clean => 0.0,
-        Standing::Trial if trial => -TIER,
-        Standing::Trial if idempotent || last_resort => TIER,
-        Standing::Resting if last_resort => TIER * 2.0,
-        Standing::Trial | Standing::Resting => return None,
+        Standing::Trial => TIER,
+        Standing::Resting => 2.0 * TIER,
     };
-    let path = if candidate.path_rests { TIER * 4.0 } else { 0.0 };
+    let path = if candidate.path_rests { 4.0 * TIER } else { 0.0 };
     let far = if candidate.near { 0.0 } else { NEAR_BONUS };
-    Some(tier + path + far + candidate.load as f32 / candidate.slots.max(1) as f32)
+    standing + path + far + candidate.load as f32 / candidate.slots.max(1) as f32
 }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -371,7 +371,7 @@
                 return Err(Refusal::Suspect);
             }
             state.guards = known.guards;
-            let allowed = !known.calls_tight && state.allowance.allows(known.guards, now);
+            let allowed = !known.calls_tight && state.allowance.allows(req.call, known.guards, now);
             if req.arrival == Arrival::Repeat && !allowed {
                 return Err(Refusal::NoAllowance);
             }
@@ -419,10 +419,10 @@
         let mut offered = Vec::new();
         while count(given.len()) < limit {
             let trials = trials(given);
-            let allowed = allowance.allows(*guards, now);
+            let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
             let admits = |it: &Waiter| {
                 (it.last_resort || endpoint.record.admits(it.idempotent, trials, now))
-                    && (allowed || !it.needs_allowance)
+                    && (allowed[usize::from(it.call)] || !it.needs_allowance)
             };
             let Some(waiter) = queue.next(now, admits) else { break };
             let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
@@ -447,8 +447,8 @@
         }
         // Work that can't begin here is better off elsewhere.
         let suspect = |it: &Waiter| !it.last_resort && !endpoint.record.admits(it.idempotent, 0, now);
-        let allowed = allowance.allows(*guards, now);
-        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowed);
+        let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
+        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowed[usize::from(it.call)]);
         while let Some(waiter) = queue.next(now, refused) {
             let why = if suspect(&waiter) { Refusal::Suspect } else { Refusal::NoAllowance };
             if let Some(at) = senders.iter().position(|it| it.0 == waiter.id) {
@@ -671,7 +671,7 @@
     pub fn allowance_used(&self) -> bool {
         let mut state = self.state.borrow_mut();
         let guards = state.guards;
-        !state.allowance.allows(guards, clock::now())
+        !state.allowance.allows(true, guards, clock::now())
     }
 
     /// A call of work that runs here was not answered well.
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -41,8 +41,11 @@
 /// How long one guard is waited for before another is asked too: a few round trips between data
 /// centres. All asked guards keep the wish in their queues; the first free place is taken.
 const ASK_ANOTHER_AFTER: Duration = Duration::from_millis(15);
-/// How many guards hold a wish at a time: more shorten the wait little and cost calls.
+/// How many guards hold a wish at first: more shorten the wait little and cost calls.
 const WISHES: usize = 4;
+/// After this one more guard may hold a wish: some of the first may be behind a cut, and their
+/// silence looks like a queue.
+const ONE_MORE_WISH: Duration = Duration::from_millis(60);
 /// How long a guard's word that its allowance is used up counts: a tenth of the usual window.
 const TIGHT_FOR: Duration = Duration::from_secs(1);
 /// How often an attempt may be moved on without having reached an endpoint.
@@ -561,15 +564,19 @@
         let mut rest = order.ask.iter();
         let mut wishes: FuturesUnordered<LocalBoxFuture<'_, (usize, Result<Grant, Refusal>)>> = FuturesUnordered::new();
         let mut asked = 0;
+        let begin = tokio::time::Instant::now();
         loop {
-            if wishes.len() < WISHES
+            let more = begin.elapsed().as_millis() / ONE_MORE_WISH.as_millis();
+            let held = WISHES + usize::try_from(more).unwrap_or(usize::MAX - WISHES);
+            if wishes.len() < held
                 && let Some(at) = rest.next()
             {
                 asked += 1;
                 wishes.push(Box::pin(self.wish(job, &guards[*at], *at, order.last_resort, patience)));
             }
-            let another = tokio::time::Instant::now() + ASK_ANOTHER_AFTER;
-            let can_ask = wishes.len() < WISHES && rest.len() > 0;
+            let pause = if wishes.len() < held { ASK_ANOTHER_AFTER } else { ONE_MORE_WISH };
+            let another = tokio::time::Instant::now() + pause;
+            let can_ask = rest.len() > 0;
             tokio::select! {
                 done = wishes.next() => {
                     let (at, result) = done?;
--- a/tests/proxy_decisions.rs
+++ b/tests/proxy_decisions.rs
@@ -216,7 +216,7 @@
             let now = start + 10 * MS * u32::try_from(tick).expect("it is small");
             let guard = rng.random_range(0..guards);
             let repeat = rng.random_bool(pressure);
-            if repeat && !all[guard].allows(guards, now) {
+            if repeat && !all[guard].allows(true, guards, now) {
                 continue;
             }
             all[guard].count(repeat, now);
@@ -239,12 +239,13 @@
     allowance.count(true, now);
     allowance.count(true, now);
 
-    let used_up = !allowance.allows(1, now);
+    let used_up = !allowance.allows(true, 1, now);
     allowance.refund(now);
 
     assert!(used_up, "half the slack is handed out");
-    assert!(allowance.allows(1, now));
-    assert!(allowance.allows(1, now + Duration::from_secs(11)));
+    assert!(!allowance.allows(false, 1, now), "callers' repeats leave a part to those of calls");
+    assert!(allowance.allows(true, 1, now));
+    assert!(allowance.allows(true, 1, now + Duration::from_secs(11)));
 }
 
 // Placing
