Proxies tell each other only what changed

Change: standing changes and replies carry a brief (incarnation, sequence, standing, version); a brief that does not fit the known row has the row asked for.

--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -204,6 +204,8 @@
     run_ended: Notify,
     /// The row of this proxy must be told anew.
     pub(super) changed: Notify,
+    /// The endpoint became suspect or clean.
+    pub(super) turned: Notify,
 }
 
 impl Guard {
@@ -228,6 +230,7 @@
             }),
             run_ended: Notify::new(),
             changed: Notify::new(),
+            turned: Notify::new(),
         }
     }
 
@@ -580,7 +583,7 @@
             self.events.emit(&Event::Standing { endpoint: id, suspect, request, why });
             metrics::counter!("jayreach_standing_changes_total", "to" => if suspect { "suspect" } else { "clean" })
                 .increment(1);
-            self.changed.notify_one();
+            self.turned.notify_one();
         }
     }
 
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -11,7 +11,7 @@
     message::{Hello, News, path},
     peer::Link,
     routes::Config,
-    view::{Merged, ProxyName, Row, Source},
+    view::{Brief, Merged, ProxyName, Row, Source},
 };
 
 /// The first pause before a peer is tried again, and the longest: a proxy that was restarted while
@@ -35,14 +35,42 @@
 impl Proxy {
     /// Takes in what a peer told with a reply.
     pub(super) fn take_news(self: &Rc<Self>, news: News) {
-        let News { row, running, waiting, allowance_used } = news;
-        if let Some(it) = &row.endpoint {
-            self.note_allowance(&it.service, allowance_used);
+        let News { brief, running, waiting, allowance_used } = news;
+        let service =
+            self.view.borrow().get(&brief.name).and_then(|it| it.endpoint.as_ref()).map(|it| it.service.clone());
+        if let Some(service) = service {
+            self.note_allowance(&service, allowance_used);
         }
-        if let Some(link) = self.link(&row.name) {
+        if let Some(link) = self.link(&brief.name) {
             link.told(running + waiting, clock::now());
         }
-        self.take_row(row, Source::Answered);
+        self.take_brief(&brief);
+    }
+
+    /// Takes in the part of a row that changes often.
+    pub(super) fn take_brief(self: &Rc<Self>, brief: &Brief) {
+        let merged = self.view.borrow_mut().merge_brief(brief);
+        match merged {
+            Merged::Changed => self.events.emit(&Event::Row {
+                peer: &brief.name,
+                sequence: brief.sequence,
+                endpoint: None,
+                service: None,
+                suspect: brief.suspect,
+            }),
+            Merged::Doubtful => self.ask_row(&brief.name),
+            Merged::Known => (),
+        }
+        if brief.version > self.version() {
+            self.fetch_config(&brief.name);
+        }
+    }
+
+    /// Asks a proxy for its row, by telling it this one's.
+    pub(super) fn ask_row(&self, name: &str) {
+        if let Some(it) = self.link(name) {
+            it.greet_fully();
+        }
     }
 
     /// Takes in a row, and links to its owner if it is new.
@@ -65,11 +93,7 @@
                 self.link_to(&name, peers);
             }
             // Its own answer settles which run is the newer one.
-            Merged::Doubtful => {
-                if let Some(it) = self.link(&name) {
-                    it.greet.notify_one();
-                }
-            }
+            Merged::Doubtful => self.ask_row(&name),
             Merged::Known => (),
         }
         if version > self.version() {
@@ -157,23 +181,35 @@
 
     /// Says hello at once, and whenever there is something new to say.
     async fn keep_greeting(self: &Rc<Self>, link: &Rc<Link>) {
+        link.greet_fully();
         loop {
-            let hello = Hello { row: self.row() };
-            if let Some(it) = link.call_within::<_, Hello>(HELLO_TIMEOUT, path::HELLO, &hello).await {
-                self.take_row(it.row, Source::Answered);
-            }
-            link.greet.notified().await;
+            let fully = link.greeting().await;
             sleep(GATHER).await;
+            if fully {
+                let hello = Hello { row: self.row() };
+                if let Some(it) = link.call_within::<_, Hello>(HELLO_TIMEOUT, path::HELLO, &hello).await {
+                    self.take_row(it.row, Source::Answered);
+                }
+            } else {
+                let brief = self.row().brief();
+                // What is lost here is told with the next reply, or the next hello.
+                _ = link.call_within::<_, ()>(HELLO_TIMEOUT, path::BRIEF, &brief).await;
+            }
         }
     }
 
     /// Tells every peer when this proxy's row changes.
     pub(super) async fn tell_changes(self: Rc<Self>) {
         loop {
-            self.guard.changed.notified().await;
-            self.sequence.set(self.sequence.get() + 1);
-            for (_, link) in &*self.links.borrow() {
-                link.greet.notify_one();
+            tokio::select! {
+                () = self.guard.changed.notified() => {
+                    self.sequence.set(self.sequence.get() + 1);
+                    self.links.borrow().iter().for_each(|it| it.1.greet_fully());
+                }
+                () = self.guard.turned.notified() => {
+                    self.standing.set(self.standing.get() + 1);
+                    self.links.borrow().iter().for_each(|it| it.1.greet_briefly());
+                }
             }
         }
     }
@@ -186,7 +222,7 @@
             let links = self.links.borrow();
             let next = links.partition_point(|it| it.0 < self.name);
             for (_, link) in links.iter().cycle().skip(next).take(RELAYS.min(links.len())) {
-                link.greet.notify_one();
+                link.greet_fully();
             }
         }
     }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -11,7 +11,7 @@
 
 use crate::proxy::{
     routes::{RouteName, ServiceName, Version},
-    view::{EndpointId, Incarnation, ProxyName, Row},
+    view::{Brief, EndpointId, Incarnation, ProxyName, Row},
 };
 
 /// A permission to send one request to an endpoint; unique for one incarnation of its guard.
@@ -24,6 +24,7 @@
     pub(crate) const ASK: &str = "/ask";
     pub(crate) const RELAY: &str = "/relay";
     pub(crate) const HELLO: &str = "/hello";
+    pub(crate) const BRIEF: &str = "/brief";
     pub(crate) const CONFIG: &str = "/config";
 }
 
@@ -66,8 +67,8 @@
 /// What a guard tells with every reply.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct News {
-    /// Its row.
-    pub row: Row,
+    /// What of its row changes often.
+    pub brief: Brief,
     /// Requests at the endpoint, or permitted.
     pub running: u32,
     /// Requests that wait.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -71,8 +71,10 @@
     /// Sorted by name; one for each row of the view.
     links: RefCell<Vec<(ProxyName, Rc<Link>)>>,
     ingress: RefCell<IngressState>,
-    /// Goes up with each change of this proxy's row.
+    /// See [`Row::sequence`].
     sequence: Cell<u64>,
+    /// See [`Row::standing`].
+    standing: Cell<u64>,
     /// Requests of callers that have no answer yet.
     requests: Cell<usize>,
     /// Set by SIGTERM: when all requests must have their answers.
@@ -123,6 +125,7 @@
             links: RefCell::default(),
             ingress: RefCell::default(),
             sequence: Cell::new(1),
+            standing: Cell::new(0),
             requests: Cell::new(0),
             stop_at: Cell::new(None),
             stops: Notify::new(),
@@ -155,6 +158,7 @@
             name: self.name.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence.get(),
+            standing: self.standing.get(),
             peers: settings.peers,
             data_centre: settings.data_centre.clone(),
             version: self.version(),
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -63,8 +63,10 @@
     told: Cell<(u32, Instant)>,
     /// Places asked for since then.
     asked: Cell<u32>,
-    /// The proxy's row, or ours, changed: say hello.
-    pub(super) greet: Notify,
+    /// There is something to tell the proxy.
+    greet: Notify,
+    /// All of our row is to be told, not just the part that changes often.
+    fully: Cell<bool>,
 }
 
 /// An open connection; ends with this.
@@ -97,6 +99,7 @@
             told: Cell::new((0, Instant::now())),
             asked: Cell::new(0),
             greet: Notify::new(),
+            fully: Cell::new(true),
         }
     }
 
@@ -125,6 +128,23 @@
         Ok(Connected { link: Rc::clone(self), ended, _task: task })
     }
 
+    /// Has our whole row told, and the other's asked for.
+    pub(super) fn greet_fully(&self) {
+        self.fully.set(true);
+        self.greet.notify_one();
+    }
+
+    /// Has the part of our row told that changes often.
+    pub(super) fn greet_briefly(&self) {
+        self.greet.notify_one();
+    }
+
+    /// Waits until there is something to tell; true if that is our whole row.
+    pub(super) async fn greeting(&self) -> bool {
+        self.greet.notified().await;
+        self.fully.replace(false)
+    }
+
     /// Whether calls can be sent.
     pub(super) fn is_connected(&self) -> bool {
         self.sender.borrow().as_ref().is_some_and(|it| !it.is_closed())
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -13,7 +13,7 @@
     message::{Ask, Hello, News, Ran, Relay, Reserve, Reserved, Run, RunEnd, Unknown, path},
     routes::{Config, Version},
     server::{Answer, answer},
-    view::Source,
+    view::{Brief, Source},
 };
 
 /// The longest call, in bytes: a request with its body, and what is around it.
@@ -41,6 +41,7 @@
         }
         path::RELAY => reply(&body, |it| proxy.relay(it)).await,
         path::HELLO => reply(&body, |it| proxy.hello(it)).await,
+        path::BRIEF => reply(&body, |it| proxy.brief(it)).await,
         path::CONFIG => reply(&body, |it| proxy.newer_config(it)).await,
         _ => answer(StatusCode::NOT_FOUND, Bytes::new()),
     }
@@ -67,7 +68,7 @@
 impl Proxy {
     fn news(&self) -> News {
         let (running, waiting) = self.guard.load();
-        News { row: self.row(), running, waiting, allowance_used: self.guard.allowance_used() }
+        News { brief: self.row().brief(), running, waiting, allowance_used: self.guard.allowance_used() }
     }
 
     async fn reserve(self: &Rc<Self>, req: Reserve) -> Reserved {
@@ -75,7 +76,7 @@
             && let Some(it) = self.link(&req.from)
         {
             // Its answer tells the version, and the configuration is fetched.
-            it.greet.notify_one();
+            it.greet_fully();
         }
         let result = self.guard.reserve(&req, self.surroundings(&req)).await;
         Reserved { news: self.news(), result }
@@ -103,6 +104,10 @@
         Hello { row: self.row() }
     }
 
+    async fn brief(self: &Rc<Self>, brief: Brief) {
+        self.take_brief(&brief);
+    }
+
     async fn newer_config(self: &Rc<Self>, known: Version) -> Option<Config> {
         let config = self.config.borrow();
         config.as_deref().filter(|it| it.version > known).cloned()
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -97,6 +97,8 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(PEER_PROBE)
             .keep_alive_timeout(PEER_PROBE_TIMEOUT)
+            // Thirty bytes that nobody reads.
+            .auto_date_header(false)
             .serve_connection(TokioIo::new(stream), service);
         spawn_local(async move {
             if let Err(error) = connection.await {
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -33,8 +33,11 @@
     pub name: ProxyName,
     /// Which run of it.
     pub incarnation: Incarnation,
-    /// Goes up with each change within a run.
+    /// Goes up with each change within a run, but for those that `standing` counts.
     pub sequence: u64,
+    /// Goes up each time the endpoint becomes suspect or clean; says which row is newer where
+    /// `sequence` is the same.
+    pub standing: u64,
     /// Where other proxies connect.
     pub peers: SocketAddr,
     /// Its data centre.
@@ -45,6 +48,37 @@
     pub endpoint: Option<EndpointRow>,
 }
 
+/// The part of a row that changes often.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// The proxy's name.
+    pub name: ProxyName,
+    /// As in the row.
+    pub incarnation: Incarnation,
+    /// As in the row.
+    pub sequence: u64,
+    /// As in the row.
+    pub standing: u64,
+    /// As in the row.
+    pub version: Version,
+    /// Whether the endpoint's last answers were bad.
+    pub suspect: bool,
+}
+
+impl Row {
+    /// The part that changes often.
+    pub fn brief(&self) -> Brief {
+        Brief {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            standing: self.standing,
+            version: self.version,
+            suspect: self.endpoint.as_ref().is_some_and(|it| it.suspect),
+        }
+    }
+}
+
 /// Where a row came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -61,7 +95,8 @@
     Changed,
     /// It says nothing new.
     Known,
-    /// Its owner's run differs from the known one, and the row may be the older of the two.
+    /// Its owner has to be asked for its row: that is unknown, or of another run, and this may be
+    /// the older of the two.
     Doubtful,
 }
 
@@ -97,13 +132,31 @@
         if known.incarnation != row.incarnation && source == Source::Told {
             return Merged::Doubtful;
         }
-        if known.incarnation == row.incarnation && known.sequence >= row.sequence {
+        let newer = (row.sequence, row.standing) > (known.sequence, known.standing);
+        if known.incarnation == row.incarnation && !newer {
             return Merged::Known;
         }
         *known = row;
         Merged::Changed
     }
 
+    /// Takes in the part of a row that changes often.
+    pub fn merge_brief(&mut self, brief: &Brief) -> Merged {
+        let Ok(at) = self.rows.binary_search_by(|it| it.name.cmp(&brief.name)) else { return Merged::Doubtful };
+        let known = &mut self.rows[at];
+        if known.incarnation != brief.incarnation || known.sequence < brief.sequence {
+            return Merged::Doubtful;
+        }
+        if (known.sequence, known.standing) >= (brief.sequence, brief.standing) {
+            return Merged::Known;
+        }
+        known.standing = brief.standing;
+        if let Some(it) = &mut known.endpoint {
+            it.suspect = brief.suspect;
+        }
+        Merged::Changed
+    }
+
     /// Forgets the row of `name`.
     pub fn remove(&mut self, name: &str) {
         self.rows.retain(|it| *it.name != *name);
