Near endpoints first until they are full

Cause: bytes between data centres. Trial of the bonus that a near endpoint has over a far one, 0.5 -> 1.0 of its slots.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt as _};
 
 /// How much fuller, as a share of its slots, a near endpoint may be than a far one.
-const NEAR_BONUS: f32 = 0.5;
+const NEAR_BONUS: f32 = 1.0;
 /// The spread that keeps ingresses that know the same from choosing the same.
 const JITTER: f32 = 0.15;
 /// The chance that idempotent work goes to a suspect whose rest is over: at some ten idempotent
