jayreach explain; a stopping ingress refuses what it could not finish

Tests: three kinds of failed request against real proxies; a blocked output loses only counted lines. The latter failed first: the counts themselves were lost when the line that tells them found no room; mended.

Cause: a stopping ingress took requests until its end. Change: it takes them in the first 45% of its grace and refuses later ones at once. Test (fails without the change): a_stopping_ingress_refuses_at_once_what_it_could_not_finish.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -19,6 +19,7 @@
     Audit(Audit),
     Drain(Drain),
     Ticket(Ticket),
+    Explain(Explain),
 }
 
 /// The parser of the command line.
@@ -33,7 +34,8 @@
     let audit = audit().map(Command::Audit);
     let drain = drain().map(Command::Drain);
     let ticket = ticket().map(Command::Ticket);
-    bpaf::construct!([daemon, proxy, check, apply, diff, show, status, audit, drain, ticket])
+    let explain = explain().map(Command::Explain);
+    bpaf::construct!([daemon, proxy, check, apply, diff, show, status, audit, drain, ticket, explain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A proxy fleet for back ends with gray failures")
@@ -64,6 +66,8 @@
 pub(super) struct Check {
     /// The file holds a daemon's settings
     pub(super) settings: bool,
+    /// The file holds a proxy's settings
+    pub(super) proxy: bool,
     /// The file to check
     #[bpaf(positional("FILE"))]
     pub(super) file: PathBuf,
@@ -166,6 +170,29 @@
     pub(super) ticket: String,
 }
 
+/// Print what became of a request, an endpoint or a configuration, from proxies' event lines
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(
+    command,
+    footer(
+        "Example: jayreach explain --request 9c41d07be2a35f68 vm-*.log\nExample: jayreach explain --config 12 vm-*.log"
+    )
+)]
+pub(super) struct Explain {
+    /// The id of a caller's attempt
+    #[bpaf(argument("ID"))]
+    pub(super) request: Option<String>,
+    /// The incarnation of an endpoint
+    #[bpaf(argument("ID"))]
+    pub(super) endpoint: Option<String>,
+    /// A version of the configuration
+    #[bpaf(argument("VERSION"))]
+    pub(super) config: Option<u64>,
+    /// Files with event lines
+    #[bpaf(positional("FILE"), some("name the files with the event lines"))]
+    pub(super) files: Vec<PathBuf>,
+}
+
 fn store() -> impl bpaf::Parser<SocketAddr> {
     bpaf::long("store").help("The platform's store").env("JAYREACH_STORE").argument("ADDRESS")
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod diff;
 mod drain;
+mod explain;
 mod proxy;
 mod show;
 mod status;
@@ -56,6 +57,7 @@
             Self::Audit(it) => it.run(),
             Self::Drain(it) => it.run(),
             Self::Ticket(it) => it.run(),
+            Self::Explain(it) => it.run(),
         }
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -124,6 +124,9 @@
         /// What went wrong.
         message: Box<str>,
     },
+    /// The command line is incomplete.
+    #[error("{0}")]
+    Usage(Box<str>),
     /// A wait ended before what was waited for.
     #[error("{0}")]
     TimedOut(Box<str>),
@@ -143,7 +146,7 @@
     /// The process's exit code for this error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Findings(_) => 2,
+            Self::Findings(_) | Self::Usage(_) => 2,
             Self::Conflict(_) => 3,
             Self::TimedOut(_) => 4,
             Self::Io { .. } | Self::Store { .. } | Self::Corrupt { .. } | Self::Daemon { .. } => 1,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A proxy fleet for back ends with gray failures.
 //!
-//! Pure decisions are in [`decide`], [`ticket`] and [`rows`]; threads and sockets in [`daemon`].
+//! Pure decisions are in [`decide`], [`ticket`] and [`rows`]; sockets of the users' platform in [`proxy`], with its
+//! names and formats in [`platform`]; the program's own interface is served by [`daemon`].
 
 pub mod chart;
 pub mod cmd;
@@ -8,6 +9,7 @@
 pub mod decide;
 pub mod document;
 pub mod error;
+pub mod explain;
 pub mod logs;
 pub mod platform;
 pub mod proxy;
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -11,12 +11,13 @@
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use serde::Serialize;
 
 use crate::proxy::{
     message::{NotRun, Refusal, Unknown},
     routes::Version,
+    view::ProxyName,
 };
 
 /// How many lines may wait for the writer: a few seconds of the busiest proxy, about 1 MB.
@@ -27,9 +28,10 @@
 /// One decision. `request` is always the id of the caller's attempt.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
+#[expect(missing_docs, reason = "docs/OPERATIONS.md tells what the fields of each line hold")]
 pub enum Event<'a> {
     /// The process began to serve.
-    Started { name: &'a str, version: &'static str },
+    Started { version: &'static str },
     /// The process was told to stop, or ends.
     Stopping { why: &'a str, running: usize },
     /// The settings file was read again.
@@ -120,6 +122,8 @@
 /// Where the lines go.
 #[derive(Debug)]
 pub struct Events {
+    /// Names this process in every line.
+    proxy: ProxyName,
     lines: Sender<Vec<u8>>,
     /// Ordinary lines that may still be written now.
     ordinary: Cell<f64>,
@@ -129,10 +133,11 @@
 
 impl Events {
     /// Starts the writer, which ends with this.
-    pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
+    pub fn start(proxy: ProxyName, out: impl Write + Send + 'static) -> io::Result<Self> {
         let (lines, rx) = bounded(QUEUE);
         thread::Builder::new().name("events".into()).spawn(move || write(&rx, out))?;
         Ok(Self {
+            proxy,
             lines,
             ordinary: Cell::new(ORDINARY_PER_S),
             filled: Cell::new(Instant::now()),
@@ -148,7 +153,10 @@
             return;
         }
         self.tell_dropped();
-        self.send(event);
+        if !self.send(event) {
+            self.dropped.borrow_mut().1 += 1;
+            metrics::counter!("jayreach_events_dropped_total", "why" => "full").increment(1);
+        }
     }
 
     fn allow_ordinary(&self) -> bool {
@@ -159,31 +167,28 @@
         allowed
     }
 
+    /// Says what was left out, once there is room to say it.
     fn tell_dropped(&self) {
-        let (ordinary, full) = self.dropped.take();
-        if ordinary + full > 0 {
-            self.send(&Event::Dropped { ordinary, full });
+        let (ordinary, full) = *self.dropped.borrow();
+        if ordinary + full > 0 && self.send(&Event::Dropped { ordinary, full }) {
+            *self.dropped.borrow_mut() = (0, 0);
         }
     }
 
-    fn send(&self, event: &Event<'_>) {
+    /// Hands a line to the writer; false if there is no room.
+    fn send(&self, event: &Event<'_>) -> bool {
         #[derive(Serialize)]
         struct Line<'a> {
-            /// By the VM's clock; for people only.
+            /// By the VM's clock, in seconds since 1970; for people only.
             time: f64,
+            proxy: &'a str,
             #[serde(flatten)]
             event: &'a Event<'a>,
         }
         let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        let mut line = serde_json::to_vec(&Line { time, event }).expect("events can be coded");
+        let mut line = serde_json::to_vec(&Line { time, proxy: &self.proxy, event }).expect("events can be coded");
         line.push(b'\n');
-        match self.lines.try_send(line) {
-            Ok(()) => (),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                self.dropped.borrow_mut().1 += 1;
-                metrics::counter!("jayreach_events_dropped_total", "why" => "full").increment(1);
-            }
-        }
+        self.lines.try_send(line).is_ok()
     }
 }
 
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -176,6 +176,9 @@
     let Some(config) = proxy.config.borrow().clone() else {
         return come_back(&proxy, rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"), 0);
     };
+    if proxy.takes_until.get().is_some_and(|it| arrived > it) {
+        return come_back(&proxy, rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0);
+    }
     let host = head.headers.get(HOST).and_then(|it| it.to_str().ok()).or(head.uri.host());
     let Some(host) = host else { return rejected(StatusCode::BAD_REQUEST, "no host") };
     if id.is_empty() {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -7,12 +7,12 @@
 mod clock;
 mod control;
 mod endpoint;
-mod events;
+pub mod events;
 pub mod guard;
 mod headers;
 mod ingress;
 mod links;
-mod message;
+pub mod message;
 mod net;
 mod peer;
 mod peers;
@@ -79,6 +79,8 @@
     requests: Cell<usize>,
     /// Set by SIGTERM: when all requests must have their answers.
     stop_at: Cell<Option<Instant>>,
+    /// Set by SIGTERM: requests that come later are refused at once.
+    takes_until: Cell<Option<Instant>>,
     /// `stop_at` was set.
     stops: Notify,
     metrics: PrometheusHandle,
@@ -99,9 +101,10 @@
 }
 
 async fn run_here(settings: Settings, path: &Path) -> Result<(), Error> {
-    let events = Events::start(io::stdout()).map_err(|it| Error::io("starting the event writer", it))?;
+    let events =
+        Events::start(settings.name.clone(), io::stdout()).map_err(|it| Error::io("starting the event writer", it))?;
     let proxy = Rc::new(Proxy::new(settings, path, Rc::new(events))?);
-    proxy.events.emit(&Event::Started { name: &proxy.name, version: env!("CARGO_PKG_VERSION") });
+    proxy.events.emit(&Event::Started { version: env!("CARGO_PKG_VERSION") });
     proxy.listen()?;
     proxy.start_tasks();
     stop::wait(&proxy).await.map_err(|it| Error::io("waiting for signals", it))
@@ -128,6 +131,7 @@
             standing: Cell::new(0),
             requests: Cell::new(0),
             stop_at: Cell::new(None),
+            takes_until: Cell::new(None),
             stops: Notify::new(),
             metrics: metrics_recorder()?,
         })
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -22,6 +22,9 @@
 const LINGER: Duration = Duration::from_millis(3_200);
 /// What is left of the grace when requests get their last answers.
 const LAST: Duration = Duration::from_millis(500);
+/// The part of the grace in which new requests are taken: the platform needs two seconds of six to
+/// send callers elsewhere, and what comes later could not be finished.
+const TAKES_PART: f64 = 0.45;
 /// How long the last answers have to leave.
 const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
@@ -62,6 +65,7 @@
         let grace = self.settings.borrow().grace;
         let stop_at = start + grace.saturating_sub(LAST);
         self.stop_at.set(Some(stop_at));
+        self.takes_until.set(Some(start + grace.mul_f64(TAKES_PART)));
         self.stops.notify_waiters();
         self.events.emit(&Event::Stopping { why: "SIGTERM", running: self.requests.get() + self.guard.running() });
         self.guard.stop();
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use jayreach::explain::{Line, Subject, explain};
 use rstest::rstest;
 use rustix::process::Signal;
 use standins::platform::{
@@ -416,6 +417,25 @@
     assert!(matches!(answer.status(), 502 | 504), "it may have run: {answer:?}");
 }
 
+#[test]
+fn a_stopping_ingress_refuses_at_once_what_it_could_not_finish() {
+    let site = site();
+    set_modes(&site, EndpointMode::Hangs);
+    let held = call("GET /read/x", "r-held").send(site.proxies[2].callers).expect("a connection");
+    assert!(eventually(|| arrivals(&site, "r-held").len() == 1));
+    site.proxies[2].signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(1_600));
+    let start = Instant::now();
+
+    let answer = ask(&site, "GET /read/x", "r-late");
+
+    drop(held);
+    assert_eq!(answer.status(), 503, "{answer:?}");
+    assert!(start.elapsed() < Duration::from_millis(300), "{:?}", start.elapsed());
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(arrivals(&site, "r-late").is_empty());
+}
+
 #[test]
 fn a_guard_that_is_killed_leaves_no_false_promise() {
     let mut site = site();
@@ -472,3 +492,35 @@
     let mut rest = Vec::new();
     reader.read_to_end(&mut rest).ok();
 }
+
+/// The cause that the proxies' event lines give for a request, once they tell its end.
+fn cause(site: &Site, request: &str) -> String {
+    let explain = || {
+        let texts = site.proxies.iter().map(|it| std::fs::read_to_string(it.log()).unwrap_or_default());
+        let lines: Vec<Line> = texts.flat_map(|it| it.lines().filter_map(Line::parse).collect::<Vec<_>>()).collect();
+        explain(&lines, &Subject::Request(request.into())).cause
+    };
+    eventually(|| !explain().starts_with("No line"));
+    explain()
+}
+
+#[test]
+fn three_kinds_of_failed_request_are_explained_from_their_ids() {
+    let site = site();
+    set_modes(&site, EndpointMode::FailsFast);
+    ask(&site, "POST /write/x", "r-gray");
+    set_modes(&site, EndpointMode::Resets);
+    ask(&site, "POST /write/x", "r-lost");
+    set_modes(&site, EndpointMode::Hangs);
+    let held: Vec<_> =
+        (0..4).map(|at| call("POST /write/x", &format!("r-held-{at}")).send(site.proxies[2].callers)).collect();
+    thread::sleep(Duration::from_millis(100));
+    ask(&site, "POST /write/x", "r-refused");
+
+    let (gray, lost, refused) = (cause(&site, "r-gray"), cause(&site, "r-lost"), cause(&site, "r-refused"));
+
+    drop(held);
+    assert!(gray.contains("answered 500 itself") && gray.contains("suspect of failing gray"), "{gray}");
+    assert!(lost.contains("Broken") && lost.contains("It may have run"), "{lost}");
+    assert!(refused.contains("No place became free") && refused.contains("It has not run"), "{refused}");
+}
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,161 @@
+//! Event lines: never blocking, bounded, and enough to find a cause.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc, Mutex,
+        mpsc::{Receiver, channel},
+    },
+    time::{Duration, Instant},
+};
+
+use jayreach::{
+    explain::{Line, Subject, explain},
+    proxy::events::{Answered, Event, Events, Failure},
+};
+use rstest::rstest;
+
+/// Collects what is written; the first write waits until it is told to go on.
+struct Slow {
+    go: Option<Receiver<()>>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if let Some(go) = self.go.take() {
+            go.recv().map_err(io::Error::other)?;
+        }
+        self.written.lock().expect("no writer panics").extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn answered(request: &str, status: u16) -> Event<'_> {
+    Event::Answered(Answered {
+        request,
+        route: "read",
+        version: 3,
+        service: "desk",
+        status,
+        outcome: "answered",
+        call: false,
+        attempts: 1,
+        took_ms: 5,
+        waited_ms: 1,
+    })
+}
+
+fn lines(written: &Arc<Mutex<Vec<u8>>>) -> Vec<Line> {
+    let bytes = written.lock().expect("no writer panics").clone();
+    String::from_utf8(bytes).expect("lines are text").lines().filter_map(Line::parse).collect()
+}
+
+fn eventually(condition: impl Fn() -> bool) -> bool {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !condition() && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    condition()
+}
+
+#[test]
+fn a_blocked_output_delays_no_one_and_what_is_lost_is_counted() {
+    let (go, rx) = channel();
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let out = Slow { go: Some(rx), written: Arc::clone(&written) };
+    let events = Events::start("vm-1".into(), out).expect("a writer");
+    let start = Instant::now();
+
+    for at in 0..20_000 {
+        events.emit(&answered(&format!("r-{at}"), 500));
+    }
+    let took = start.elapsed();
+    go.send(()).expect("the writer waits");
+    assert!(eventually(|| lines(&written).len() >= 4_000));
+    events.emit(&answered("r-last", 500));
+
+    assert!(took < Duration::from_secs(5), "{took:?} for 20,000 lines that nobody took");
+    assert!(eventually(|| lines(&written).iter().any(|it| it.fields.get("request").is_some_and(|it| it == "r-last"))));
+    let kept = lines(&written).iter().filter(|it| &*it.event == "answered").count() as u64;
+    let dropped: u64 = lines(&written).iter().filter_map(|it| it.fields.get("full")?.as_u64()).sum();
+    assert_eq!(kept + dropped, 20_001, "each line was written or counted");
+}
+
+#[test]
+fn ordinary_successes_are_sampled_and_failures_are_not() {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let events = Events::start("vm-1".into(), Slow { go: None, written: Arc::clone(&written) }).expect("a writer");
+
+    for at in 0..1_000 {
+        events.emit(&answered(&format!("good-{at}"), 200));
+    }
+    for at in 0..100 {
+        events.emit(&answered(&format!("bad-{at}"), 503));
+    }
+
+    let count = |prefix: &str| {
+        let request = |it: &Line| it.fields.get("request").and_then(|it| it.as_str()).unwrap_or("").to_owned();
+        lines(&written).iter().filter(|it| request(it).starts_with(prefix)).count()
+    };
+    assert!(eventually(|| count("bad-") == 100));
+    assert!(count("good-") < 200, "{} of 1000", count("good-"));
+}
+
+/// The lines of a few events as a proxy writes them.
+fn written(events: &[Event<'_>]) -> Vec<Line> {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let out = Events::start("vm-1".into(), Slow { go: None, written: Arc::clone(&written) }).expect("a writer");
+    for it in events {
+        out.emit(it);
+    }
+    assert!(eventually(|| lines(&written).len() >= events.len()));
+    lines(&written)
+}
+
+#[rstest]
+#[case(Event::Rejected { request: "r", status: 404, why: "no route" }, "404: no route")]
+#[case(Event::Cancelled { request: "r", route: "read", after_ms: 70, attempts: 1 }, "caller left after 70 ms")]
+#[case(answered("r", 200), "It was served")]
+fn a_request_s_end_is_told_in_a_sentence(#[case] event: Event<'_>, #[case] wanted: &str) {
+    let history = explain(&written(&[event]), &Subject::Request("r".into()));
+
+    assert_eq!(history.lines.len(), 1);
+    assert!(history.cause.contains(wanted), "{}", history.cause);
+}
+
+#[test]
+fn a_call_that_failed_is_named_as_its_parent_s_cause() {
+    let failed = Event::Failed { request: "r", guard: "vm-2", attempt: 1, why: Failure::Status(500), took_ms: 40 };
+    let all = written(&[answered("r.c1", 503), failed, answered("r", 500)]);
+
+    let history = explain(&all, &Subject::Request("r".into()));
+
+    assert_eq!(history.lines.len(), 3);
+    assert!(history.cause.contains("because a call that it made failed: r.c1"), "{}", history.cause);
+}
+
+#[test]
+fn what_no_line_tells_is_said_so() {
+    let history = explain(&written(&[answered("other", 500)]), &Subject::Request("r".into()));
+
+    assert!(history.lines.is_empty());
+    assert!(history.cause.contains("No line names it"), "{}", history.cause);
+}
+
+#[test]
+fn a_version_s_way_through_the_fleet_is_told() {
+    let all = written(&[
+        Event::Config { version: 12, before: 0, source: "store", routes: 3 },
+        Event::Config { version: 14, before: 12, source: "peer", routes: 3 },
+    ]);
+
+    let history = explain(&all, &Subject::Config(14));
+
+    assert!(history.cause.contains("in force at 1 of 1 proxies"), "{}", history.cause);
+    assert!(history.cause.contains("1 had it from a peer"), "{}", history.cause);
+}
