--- /dev/null
+++ b/src/proxy/guard/mod.rs
@@ -0,0 +1,280 @@
+//! The only way to the VM's endpoint: places, the queue, and what became of each place.
+
+mod announced;
+mod places;
+mod runs;
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::{Notify, oneshot};
+
+use crate::{
+    decide::{
+        allowance::{Allowance, Terms},
+        pace::Pace,
+        suspicion::Record,
+        wait_queue::{WaitQueue, WaiterId},
+    },
+    proxy::{
+        clock,
+        endpoint::EndpointPool,
+        events::Events,
+        message::{Grant, GrantId, Refusal, RunEnd},
+        routes::{RouteName, ServiceName},
+        view::{EndpointId, EndpointRow, Incarnation},
+    },
+};
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announced {
+    /// Its incarnation.
+    pub id: EndpointId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// How much it works on at once.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub phase: EndpointPhase,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+    /// Goes up with each announcement of one incarnation.
+    pub sequence: u64,
+}
+
+/// Whether an endpoint takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointPhase {
+    /// It does.
+    Serving,
+    /// It does not, and never will again.
+    Leaving,
+}
+
+impl EndpointPhase {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// What the proxy knows beyond its guard that bears on a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Surroundings {
+    /// How many guards share the allowance of the service.
+    pub guards: usize,
+    /// A service that such work calls has no allowance left: a repeat would call it again.
+    pub calls_tight: bool,
+}
+
+/// What an announcement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing, or only when it was heard last.
+    Known,
+    /// The endpoint, or whether it takes work.
+    Changed,
+    /// It names another incarnation while the known one seems alive: ask at the address.
+    Doubtful,
+}
+
+struct Endpoint {
+    announced: Announced,
+    pool: Rc<EndpointPool>,
+    record: Record,
+    heard: Instant,
+    cold_until: Instant,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GrantPhase {
+    Offered,
+    Running,
+}
+
+/// Where a request of this VM began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// With a caller.
+    Caller,
+    /// With work that runs at the VM's endpoint.
+    Call {
+        /// That work is a repeat, so its calls count as repeats where they go.
+        of_repeat: bool,
+    },
+}
+
+struct Running {
+    request: Box<str>,
+    repeat: bool,
+    /// A call that it made was not answered well, so its own failure is not the endpoint's.
+    call_failed: bool,
+}
+
+struct Given {
+    id: GrantId,
+    route: RouteName,
+    idempotent: bool,
+    /// It counts as a repeat.
+    repeat: bool,
+    /// It was given while the endpoint was suspect.
+    trial: bool,
+    /// What runs there, once it does.
+    run: Option<Running>,
+    phase: GrantPhase,
+}
+
+struct Ended {
+    id: GrantId,
+    end: RunEnd,
+    at: Instant,
+}
+
+impl Ended {
+    fn bytes(&self) -> usize {
+        match &self.end {
+            RunEnd::Answered { content, .. } => content.body.len(),
+            RunEnd::NotRun(_) | RunEnd::Unknown(_) => 0,
+        }
+    }
+}
+
+type PlaceSender = oneshot::Sender<Result<Grant, Refusal>>;
+
+struct State {
+    endpoint: Option<Endpoint>,
+    /// Former incarnations at this address; the newest last.
+    retired: Vec<EndpointId>,
+    queue: WaitQueue,
+    /// One for each waiter in the queue.
+    senders: Vec<(WaiterId, PlaceSender)>,
+    /// Places that are offered or in use; their number is bounded by the endpoint's slots.
+    given: Vec<Given>,
+    /// In the order of their ends.
+    ended: Vec<Ended>,
+    pace: Pace,
+    allowance: Allowance,
+    /// How many guards share the allowance of the endpoint's service.
+    guards: usize,
+    /// Which services the work of a class called here; sorted.
+    calls: Vec<(RouteName, ServiceName)>,
+    next_id: u64,
+}
+
+/// The guard of this VM's endpoint.
+pub struct Guard {
+    incarnation: Incarnation,
+    announce_every: Duration,
+    events: Rc<Events>,
+    state: RefCell<State>,
+    /// Some run ended.
+    run_ended: Notify,
+    /// The row of this proxy must be told anew.
+    pub(super) changed: Notify,
+    /// The endpoint became suspect or clean.
+    pub(super) turned: Notify,
+}
+
+impl Guard {
+    /// A guard that knows no endpoint yet.
+    pub fn new(incarnation: Incarnation, announce_every: Duration, terms: Terms, events: Rc<Events>) -> Self {
+        Self {
+            incarnation,
+            announce_every,
+            events,
+            state: RefCell::new(State {
+                endpoint: None,
+                retired: Vec::new(),
+                queue: WaitQueue::default(),
+                senders: Vec::new(),
+                given: Vec::new(),
+                ended: Vec::new(),
+                pace: Pace::default(),
+                allowance: Allowance::new(terms, clock::now()),
+                guards: 1,
+                calls: Vec::new(),
+                next_id: 0,
+            }),
+            run_ended: Notify::new(),
+            changed: Notify::new(),
+            turned: Notify::new(),
+        }
+    }
+
+    /// The endpoint as others see it, while it takes work.
+    pub fn row(&self) -> Option<EndpointRow> {
+        let state = self.state.borrow();
+        let it = state.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving)?;
+        Some(EndpointRow {
+            id: it.announced.id.clone(),
+            service: it.announced.service.clone(),
+            slots: it.announced.slots,
+            suspect: it.record.is_suspect(),
+        })
+    }
+
+    /// Requests at the endpoint or permitted, and requests that wait.
+    pub fn load(&self) -> (u32, u32) {
+        let state = self.state.borrow();
+        (count(state.given.len()), count(state.queue.len()))
+    }
+
+    /// Where a request of this VM for `service` began. Endpoints put the id of the work before the
+    /// id of its call; an id that only looks so, without that work running here, is a caller's.
+    pub fn origin(&self, request: &str, service: &str) -> Origin {
+        let Some((parent, _)) = request.rsplit_once('.') else { return Origin::Caller };
+        let mut state = self.state.borrow_mut();
+        let State { given, calls, .. } = &mut *state;
+        let mut running = given.iter().filter_map(|it| Some((it, it.run.as_ref()?)));
+        let Some((given, run)) = running.find(|it| *it.1.request == *parent) else { return Origin::Caller };
+        if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(&given.route, service))) {
+            calls.insert(at, (given.route.clone(), service.into()));
+        }
+        Origin::Call { of_repeat: run.repeat }
+    }
+
+    /// Whether work of `route` called a service here for which `tight` holds.
+    pub fn calls_any(&self, route: &str, tight: impl Fn(&str) -> bool) -> bool {
+        self.state.borrow().calls.iter().any(|it| *it.0 == *route && tight(&it.1))
+    }
+
+    /// Whether no repeat may arrive now.
+    pub fn allowance_used(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let guards = state.guards;
+        !state.allowance.allows(true, guards, clock::now())
+    }
+
+    /// A call of work that runs here was not answered well.
+    pub fn call_failed(&self, request: &str) {
+        let Some((parent, _)) = request.rsplit_once('.') else { return };
+        let mut state = self.state.borrow_mut();
+        let mut running = state.given.iter_mut().filter_map(|it| it.run.as_mut());
+        if let Some(it) = running.find(|it| *it.request == *parent) {
+            it.call_failed = true;
+        }
+    }
+
+    /// How many runs are under way.
+    pub fn running(&self) -> usize {
+        self.state.borrow().given.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_without_endpoint(&self) -> bool {
+        self.state.borrow().endpoint.is_none()
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/proxy/guard/places.rs
@@ -0,0 +1,164 @@
+//! Places at the endpoint: who waits for one, who gets one, and when it is taken back.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::{sync::oneshot, task::spawn_local, time::sleep};
+
+use super::{EndpointPhase, Given, GrantPhase, Guard, State, Surroundings, count};
+use crate::{
+    decide::wait_queue::{Waiter, WaiterId},
+    proxy::{
+        clock,
+        message::{Arrival, Grant, GrantId, NotRun, Refusal, Reserve, RunEnd},
+    },
+};
+
+/// How long a place is kept for an ingress that does not use it: many round trips between data
+/// centres, and short beside the work.
+const GRANT_TTL: Duration = Duration::from_millis(300);
+/// An endpoint that warms up works at about half its speed.
+const COLD_PART: u32 = 2;
+
+impl Guard {
+    /// Waits for a place. Dropping the future takes the wish, or the place, back.
+    pub async fn reserve(self: &Rc<Self>, req: &Reserve, known: Surroundings) -> Result<Grant, Refusal> {
+        let now = clock::now();
+        let (tx, rx) = oneshot::channel();
+        let id = {
+            let mut state = self.state.borrow_mut();
+            let Some(endpoint) = &state.endpoint else { return Err(Refusal::Elsewhere) };
+            let announced = &endpoint.announced;
+            if announced.service != req.service || announced.phase == EndpointPhase::Leaving {
+                return Err(Refusal::Elsewhere);
+            }
+            if !req.last_resort && !endpoint.record.admits(req.idempotent, trials(&state.given), now) {
+                return Err(Refusal::Suspect);
+            }
+            state.guards = known.guards;
+            let allowed = !known.calls_tight && state.allowance.allows(req.call, known.guards, now);
+            if req.arrival == Arrival::Repeat && !allowed {
+                return Err(Refusal::NoAllowance);
+            }
+            state.next_id += 1;
+            let id = state.next_id;
+            state.queue.push(Waiter {
+                id,
+                call: req.call,
+                rank: req.rank,
+                idempotent: req.idempotent,
+                last_resort: req.last_resort,
+                arrived: now,
+                useful_until: now + req.useful_for,
+                needs_allowance: req.arrival == Arrival::Repeat,
+                repeat: req.arrival != Arrival::First,
+                route: req.route.clone(),
+            });
+            state.senders.push((id, tx));
+            id
+        };
+        let mut wish = Wish { guard: self, id, rx };
+        self.pump();
+        (&mut wish.rx).await.unwrap_or(Err(Refusal::Elsewhere))
+    }
+
+    /// Gives free places to those that wait, in order.
+    pub(super) fn pump(self: &Rc<Self>) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let State { endpoint, queue, senders, given, next_id, allowance, guards, .. } = &mut *state;
+        let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
+        let Some(endpoint) = serving else {
+            queue.drain();
+            for (_, tx) in senders.drain(..) {
+                // An ingress that is gone needs no answer.
+                _ = tx.send(Err(Refusal::Elsewhere));
+            }
+            return;
+        };
+        let limit = if now < endpoint.cold_until {
+            endpoint.announced.slots.div_ceil(COLD_PART)
+        } else {
+            endpoint.announced.slots
+        };
+        let mut offered = Vec::new();
+        while count(given.len()) < limit {
+            let trials = trials(given);
+            let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
+            let admits = |it: &Waiter| {
+                (it.last_resort || endpoint.record.admits(it.idempotent, trials, now))
+                    && (allowed[usize::from(it.call)] || !it.needs_allowance)
+            };
+            let Some(waiter) = queue.next(now, admits) else { break };
+            let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
+            let (_, tx) = senders.swap_remove(at);
+            *next_id += 1;
+            let id = *next_id;
+            let grant = Grant { id, guard: self.incarnation, endpoint: endpoint.announced.id.clone() };
+            if tx.send(Ok(grant)).is_err() {
+                continue;
+            }
+            allowance.count(waiter.repeat, now);
+            given.push(Given {
+                id,
+                route: waiter.route,
+                idempotent: waiter.idempotent,
+                repeat: waiter.repeat,
+                trial: endpoint.record.is_suspect(),
+                run: None,
+                phase: GrantPhase::Offered,
+            });
+            offered.push(id);
+        }
+        // Work that can't begin here is better off elsewhere.
+        let suspect = |it: &Waiter| !it.last_resort && !endpoint.record.admits(it.idempotent, 0, now);
+        let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
+        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowed[usize::from(it.call)]);
+        while let Some(waiter) = queue.next(now, refused) {
+            let why = if suspect(&waiter) { Refusal::Suspect } else { Refusal::NoAllowance };
+            if let Some(at) = senders.iter().position(|it| it.0 == waiter.id) {
+                // An ingress that is gone needs no answer.
+                _ = senders.swap_remove(at).1.send(Err(why));
+            }
+        }
+        drop(state);
+        for id in offered {
+            self.expire(id);
+        }
+    }
+
+    /// Takes a place back that is not used in time.
+    fn expire(self: &Rc<Self>, id: GrantId) {
+        let guard = Rc::clone(self);
+        spawn_local(async move {
+            sleep(GRANT_TTL).await;
+            let unused = guard.state.borrow().given.iter().any(|it| it.id == id && it.phase == GrantPhase::Offered);
+            if unused {
+                guard.end(id, RunEnd::NotRun(NotRun::NoGrant));
+            }
+        });
+    }
+}
+
+fn trials(given: &[Given]) -> u32 {
+    count(given.iter().filter(|it| it.trial).count())
+}
+
+/// A wish for a place, taken back when its future is dropped.
+struct Wish<'a> {
+    guard: &'a Rc<Guard>,
+    id: WaiterId,
+    rx: oneshot::Receiver<Result<Grant, Refusal>>,
+}
+
+impl Drop for Wish<'_> {
+    fn drop(&mut self) {
+        // A place that was given and not taken yet is free again.
+        if let Ok(Ok(grant)) = self.rx.try_recv() {
+            self.guard.end(grant.id, RunEnd::NotRun(NotRun::NoGrant));
+            return;
+        }
+        let mut state = self.guard.state.borrow_mut();
+        state.queue.remove(self.id);
+        state.senders.retain(|it| it.0 != self.id);
+    }
+}
--- /dev/null
+++ b/src/proxy/guard/runs.rs
@@ -0,0 +1,208 @@
+//! Runs at the endpoint: each place is used once, and its end is remembered for a while.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::{task::spawn_local, time::timeout};
+
+use super::{Ended, GrantPhase, Guard, Running, State};
+use crate::{
+    decide::suspicion::Sample,
+    proxy::{
+        clock,
+        endpoint::{EndpointPool, EndpointRequest},
+        events::Event,
+        message::{Grant, GrantId, NotRun, Run, RunEnd, Unknown},
+    },
+};
+
+/// How long the end of a run is remembered for an ingress that lost its connection.
+const ENDED_KEPT: Duration = Duration::from_secs(20);
+/// How many ends are remembered at most; far above slots times the runs of 20 s.
+const ENDED_COUNT: usize = 512;
+/// How many bytes of answers are remembered at most.
+const ENDED_BYTES: usize = 16 << 20;
+/// How long an [`Ask`](crate::proxy::message::Ask) waits for a run to end.
+const ASK_WAIT: Duration = Duration::from_secs(10);
+/// Work is overdue after this many times its usual length, and `OVERDUE_MORE`.
+const OVERDUE_FACTOR: u32 = 3;
+/// See `OVERDUE_FACTOR`: short work varies more.
+const OVERDUE_MORE: Duration = Duration::from_millis(300);
+/// Work of a class never seen is overdue after this.
+const OVERDUE_UNKNOWN: Duration = Duration::from_secs(3);
+
+impl Guard {
+    /// Uses a place: sends the work to the endpoint, once.
+    ///
+    /// Dropping the future stops idempotent work. Other work goes on, and its end is remembered.
+    pub async fn run(self: &Rc<Self>, run: Run) -> RunEnd {
+        let Some((pool, idempotent, overdue)) = self.begin(&run) else {
+            return RunEnd::NotRun(NotRun::NoGrant);
+        };
+        let grant = run.grant.id;
+        let work = Rc::clone(self).execute(run, pool, overdue);
+        if idempotent {
+            let _cancel = Cancel { guard: self, grant };
+            return work.await;
+        }
+        spawn_local(work);
+        self.ended(grant).await
+    }
+
+    fn begin(&self, run: &Run) -> Option<(Rc<EndpointPool>, bool, Duration)> {
+        let grant = &run.grant;
+        if grant.guard != self.incarnation {
+            return None;
+        }
+        let mut state = self.state.borrow_mut();
+        let State { endpoint, given, pace, .. } = &mut *state;
+        let endpoint = endpoint.as_ref().filter(|it| it.announced.id == grant.endpoint)?;
+        let given = given.iter_mut().find(|it| it.id == grant.id && it.phase == GrantPhase::Offered)?;
+        given.phase = GrantPhase::Running;
+        given.run = Some(Running { request: run.request.clone(), repeat: run.repeat, call_failed: false });
+        let overdue = pace.mean(&given.route).map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE);
+        Some((Rc::clone(&endpoint.pool), given.idempotent, overdue))
+    }
+
+    async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, overdue: Duration) -> RunEnd {
+        let Run { grant, request, method, target, content, left, repeat: _ } = run;
+        let mut head = hyper::Request::new(());
+        match (method.parse(), target.parse()) {
+            (Ok(method), Ok(target)) => {
+                *head.method_mut() = method;
+                *head.uri_mut() = target;
+            }
+            (Err(_), _) | (_, Err(_)) => {
+                self.end(grant.id, RunEnd::NotRun(NotRun::NoGrant));
+                return RunEnd::NotRun(NotRun::NoGrant);
+            }
+        }
+        *head.headers_mut() = content.headers();
+        let body = content.body.into_vec().into();
+        let req = EndpointRequest { request: request.clone(), instance: grant.endpoint.clone(), head, body, left };
+        let start = clock::now();
+        let work = pool.run(req);
+        tokio::pin!(work);
+        let end = match timeout(overdue, &mut work).await {
+            Ok(it) => it,
+            Err(_) => {
+                self.sample(&grant.endpoint, Sample::Doubtful, &request, "overdue");
+                work.await
+            }
+        };
+        self.learn(&grant, &end, &request, clock::now().saturating_duration_since(start), left);
+        self.end(grant.id, end.clone());
+        end
+    }
+
+    /// Takes in what the end of a run says of the endpoint.
+    fn learn(self: &Rc<Self>, grant: &Grant, end: &RunEnd, request: &str, took: Duration, left: Duration) {
+        /// An endpoint that ends this close to its deadline ran out of time.
+        const CLOSE: Duration = Duration::from_millis(100);
+        let state = self.state.borrow();
+        let Some(given) = state.given.iter().find(|it| it.id == grant.id) else { return };
+        let route = given.route.clone();
+        let call_failed = given.run.as_ref().is_some_and(|it| it.call_failed);
+        let failure = Sample::failure(took, state.pace.mean(&route));
+        drop(state);
+        let (sample, why) = match end {
+            RunEnd::Answered { status, .. } if *status < 500 => {
+                self.state.borrow_mut().pace.record(&route, took);
+                (Sample::Good, "answered")
+            }
+            RunEnd::Answered { status: 504, .. } if took + CLOSE >= left => return,
+            RunEnd::Answered { .. } if call_failed => return,
+            RunEnd::Answered { .. } => (failure, "failed"),
+            RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) | RunEnd::NotRun(NotRun::NoGrant) => return,
+            RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => (failure, "broken"),
+            RunEnd::NotRun(NotRun::Declined) => (Sample::Bad, "declined"),
+            RunEnd::NotRun(NotRun::NoConnection) => {
+                self.forget_if_silent(&grant.endpoint);
+                (Sample::Bad, "no connection")
+            }
+            RunEnd::NotRun(NotRun::OtherInstance) => {
+                self.leave(&grant.endpoint, "another instance answered");
+                return;
+            }
+        };
+        self.sample(&grant.endpoint, sample, request, why);
+    }
+
+    fn sample(self: &Rc<Self>, id: &str, sample: Sample, request: &str, why: &str) {
+        let mut state = self.state.borrow_mut();
+        let Some(endpoint) = state.endpoint.as_mut().filter(|it| *it.announced.id == *id) else { return };
+        let turned = endpoint.record.sample(sample, clock::now());
+        let suspect = endpoint.record.is_suspect();
+        drop(state);
+        if turned {
+            self.events.emit(&Event::Standing { endpoint: id, suspect, request, why });
+            metrics::counter!("jayreach_standing_changes_total", "to" => if suspect { "suspect" } else { "clean" })
+                .increment(1);
+            self.turned.notify_one();
+        }
+    }
+
+    /// Gives a place back and remembers what became of it.
+    pub(super) fn end(self: &Rc<Self>, grant: GrantId, end: RunEnd) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Some(at) = state.given.iter().position(|it| it.id == grant) else { return };
+        let given = state.given.swap_remove(at);
+        let unused = end == RunEnd::NotRun(NotRun::NoGrant);
+        if unused && given.repeat {
+            state.allowance.refund(now);
+        }
+        if !given.idempotent || unused {
+            state.ended.push(Ended { id: grant, end, at: now });
+        }
+        state.ended.retain(|it| now.saturating_duration_since(it.at) < ENDED_KEPT);
+        let mut bytes: usize = state.ended.iter().map(Ended::bytes).sum();
+        while state.ended.len() > ENDED_COUNT || bytes > ENDED_BYTES {
+            bytes -= state.ended.remove(0).bytes();
+        }
+        drop(state);
+        self.run_ended.notify_waiters();
+        self.pump();
+    }
+
+    /// What became of a place; one that was not used yet is taken back.
+    pub async fn ask(self: &Rc<Self>, grant: &Grant) -> RunEnd {
+        if grant.guard != self.incarnation {
+            return RunEnd::Unknown(Unknown::GuardGone);
+        }
+        let offered = self.state.borrow().given.iter().any(|it| it.id == grant.id && it.phase == GrantPhase::Offered);
+        if offered {
+            self.end(grant.id, RunEnd::NotRun(NotRun::NoGrant));
+        }
+        timeout(ASK_WAIT, self.ended(grant.id)).await.unwrap_or(RunEnd::Unknown(Unknown::Silent))
+    }
+
+    async fn ended(&self, grant: GrantId) -> RunEnd {
+        loop {
+            let ended = self.run_ended.notified();
+            tokio::pin!(ended);
+            ended.as_mut().enable();
+            {
+                let state = self.state.borrow();
+                if let Some(it) = state.ended.iter().find(|it| it.id == grant) {
+                    return it.end.clone();
+                }
+                if !state.given.iter().any(|it| it.id == grant) {
+                    return RunEnd::Unknown(Unknown::GuardGone);
+                }
+            }
+            ended.await;
+        }
+    }
+}
+
+/// Gives the place of idempotent work back when its future is dropped before its end.
+struct Cancel<'a> {
+    guard: &'a Rc<Guard>,
+    grant: GrantId,
+}
+
+impl Drop for Cancel<'_> {
+    fn drop(&mut self) {
+        self.guard.end(self.grant, RunEnd::Unknown(Unknown::Silent));
+    }
+}
--- /dev/null
+++ b/src/proxy/ingress/attempt.rs
@@ -0,0 +1,214 @@
+//! Attempts at endpoints: which end of one ends the request, and which asks for another.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::time::{sleep, timeout};
+
+use super::{Guarded, Job, NoPlace, Placed, Verdict};
+use crate::proxy::{
+    Proxy, clock,
+    events::{Event, Failure},
+    guard::Origin,
+    message::{Ask, Grant, NotRun, Ran, Relay, Run, RunEnd, Unknown, path},
+    peer::{Link, LinkError},
+};
+
+/// How often an attempt may be moved on without having reached an endpoint.
+const FREE_MOVES: u32 = 6;
+/// Idempotent work is overdue, and may begin elsewhere, after this many times its usual length.
+const OVERDUE_FACTOR: u32 = 4;
+/// See `OVERDUE_FACTOR`: short work varies more.
+const OVERDUE_MORE: Duration = Duration::from_millis(300);
+/// How long a lost run is asked for in one try, and the pause between tries.
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
+impl Proxy {
+    pub(super) async fn serve(self: &Rc<Self>, job: &Job) -> Verdict {
+        let mut tried: Vec<Box<str>> = Vec::new();
+        let mut last: Option<Verdict> = None;
+        let mut moves = 0;
+        loop {
+            let placed = match self.place(job, &tried).await {
+                Ok(it) => it,
+                Err(_) if last.is_some() => return last.expect("just looked"),
+                Err(it) => return job.without_place(it),
+            };
+            let (placed, end, took) = self.attempt(job, placed, &mut tried).await;
+            match end {
+                RunEnd::Answered { status, content, took } => {
+                    let verdict = Verdict::Answer { status, content };
+                    if status < 500 {
+                        self.ingress.borrow_mut().pace.record(&job.route().name, took);
+                        return verdict;
+                    }
+                    self.failed(job, &placed, Failure::Status(status), took);
+                    if !job.idempotent() || !self.may_repeat(job) {
+                        return verdict;
+                    }
+                    last = Some(verdict);
+                    tried.push(placed.grant.endpoint);
+                }
+                RunEnd::NotRun(why) => {
+                    self.failed(job, &placed, Failure::NotRun(why), took);
+                    let reached = matches!(why, NotRun::Declined | NotRun::OtherInstance);
+                    moves += 1;
+                    if reached {
+                        tried.push(placed.grant.endpoint);
+                    } else {
+                        job.attempts.set(job.attempts.get() - 1);
+                    }
+                    if (reached && !self.may_repeat(job)) || moves > FREE_MOVES {
+                        return last.unwrap_or(job.without_place(NoPlace::Full));
+                    }
+                }
+                RunEnd::Unknown(why) => {
+                    self.failed(job, &placed, Failure::Unknown(why), took);
+                    if !job.idempotent() || !self.may_repeat(job) {
+                        let silent = why == Unknown::Silent;
+                        return if silent { Verdict::OutOfTime } else { Verdict::Unknown };
+                    }
+                    tried.push(placed.grant.endpoint);
+                }
+            }
+        }
+    }
+
+    fn failed(&self, job: &Job, placed: &Placed, why: Failure, took: Duration) {
+        let guard = placed.guard.name(self);
+        let attempt = job.attempts.get();
+        self.events.emit(&Event::Failed { request: &job.request, guard, attempt, why, took_ms: took.as_millis() });
+        metrics::counter!("jayreach_attempts_failed_total", "service" => job.service.to_string()).increment(1);
+    }
+
+    /// Whether the work may be sent to one more endpoint, if its guard has an allowance for it.
+    fn may_repeat(&self, job: &Job) -> bool {
+        job.attempts.get() < job.route().max_attempts && clock::now() < job.give_up
+    }
+
+    /// Sends the work to a reserved place. Idempotent work that is overdue there begins at a second
+    /// place, too, if there is one; the first good answer counts. Returns the place that ended it.
+    async fn attempt(
+        self: &Rc<Self>,
+        job: &Job,
+        placed: Placed,
+        tried: &mut Vec<Box<str>>,
+    ) -> (Placed, RunEnd, Duration) {
+        let start = clock::now();
+        let first = self.run_placed(job, placed.clone());
+        tokio::pin!(first);
+        let overdue = self.overdue(job).saturating_duration_since(start);
+        if let Ok(end) = timeout(overdue, &mut first).await {
+            return (placed, end, clock::now().saturating_duration_since(start));
+        }
+        tried.push(placed.grant.endpoint.clone());
+        let second = tokio::select! {
+            end = &mut first => return (placed, end, clock::now().saturating_duration_since(start)),
+            it = self.place(job, tried) => it.ok(),
+        };
+        let Some(second) = second else {
+            return (placed, first.await, clock::now().saturating_duration_since(start));
+        };
+        self.failed(job, &placed, Failure::Overdue, clock::now().saturating_duration_since(start));
+        let other = self.run_placed(job, second.clone());
+        tokio::pin!(other);
+        let (end, placed) = tokio::select! {
+            end = &mut first => if is_good(&end) { (end, placed) } else { (other.await, second) },
+            end = &mut other => if is_good(&end) { (end, second) } else { (first.await, placed) },
+        };
+        (placed, end, clock::now().saturating_duration_since(start))
+    }
+
+    /// When work may begin at a second place; its end if it may not.
+    fn overdue(&self, job: &Job) -> Instant {
+        if !job.idempotent() || job.attempts.get() + 1 >= job.route().max_attempts {
+            return job.give_up;
+        }
+        let usual = self.ingress.borrow().pace.mean(&job.route().name);
+        usual.map_or(job.give_up, |it| job.give_up.min(clock::now() + it * OVERDUE_FACTOR + OVERDUE_MORE))
+    }
+
+    /// Sends the work to a reserved place, and counts it.
+    async fn run_placed(self: &Rc<Self>, job: &Job, placed: Placed) -> RunEnd {
+        let start = clock::now();
+        job.attempts.set(job.attempts.get() + 1);
+        job.open.set(job.open.get() + 1);
+        let run = Run {
+            grant: placed.grant.clone(),
+            request: job.request.clone(),
+            repeat: job.attempts.get() > 1 || job.origin == Origin::Call { of_repeat: true },
+            method: job.method.clone(),
+            target: job.target.clone(),
+            content: job.content.clone(),
+            left: job.work_until.saturating_duration_since(start),
+        };
+        let end = timeout(job.left(), self.run_at(job, &placed, run)).await;
+        let end = end.unwrap_or(RunEnd::Unknown(Unknown::Silent));
+        if !matches!(end, RunEnd::Unknown(_)) {
+            job.open.set(job.open.get() - 1);
+        }
+        end
+    }
+
+    async fn run_at(self: &Rc<Self>, job: &Job, placed: &Placed, run: Run) -> RunEnd {
+        let (name, link) = match &placed.guard {
+            Guarded::Here => return self.guard.run(run).await,
+            Guarded::There(name, link) => (name, link),
+        };
+        match link.call::<_, Ran>(path::RUN, &run).await {
+            Ok(it) => {
+                self.take_news(it.news);
+                it.end
+            }
+            Err(LinkError::NotConnected) => RunEnd::NotRun(NotRun::NoGrant),
+            Err(error) => {
+                link.failed(clock::now());
+                log::debug!("request {}: {error}", job.request);
+                if job.idempotent() {
+                    RunEnd::Unknown(Unknown::GuardGone)
+                } else {
+                    self.find_out(job, name, link, run.grant).await
+                }
+            }
+        }
+    }
+
+    /// Asks what became of work that must not run twice, at its guard or through others, until it is
+    /// known; its caller's time bounds this.
+    async fn find_out(self: &Rc<Self>, job: &Job, name: &str, link: &Rc<Link>, grant: Grant) -> RunEnd {
+        let ask = Ask { grant };
+        loop {
+            let (through, found) = if link.is_connected() {
+                (name.into(), link.call_within::<_, RunEnd>(job.left(), path::ASK, &ask).await)
+            } else {
+                match self.any_link_but(name) {
+                    Some((helper, it)) => {
+                        let relay = Relay { to: link.address, ask: ask.clone() };
+                        (helper, it.call_within::<_, RunEnd>(ASK_TIMEOUT, path::RELAY, &relay).await)
+                    }
+                    None => (name.into(), None),
+                }
+            };
+            let told = match &found {
+                None => "no answer",
+                Some(RunEnd::Answered { .. }) => "answered",
+                Some(RunEnd::NotRun(_)) => "not run",
+                Some(RunEnd::Unknown(_)) => "unknown",
+            };
+            self.events.emit(&Event::Asked { request: &job.request, guard: name, through: &through, found: told });
+            match found {
+                // The guard says so itself; a silent one is asked again.
+                Some(it) if it != RunEnd::Unknown(Unknown::Silent) => return it,
+                Some(_) | None => sleep(ASK_PAUSE).await,
+            }
+        }
+    }
+}
+
+/// Whether an end is the answer to give.
+fn is_good(end: &RunEnd) -> bool {
+    matches!(end, RunEnd::Answered { status, .. } if *status < 500)
+}
--- /dev/null
+++ b/src/proxy/ingress/placing.rs
@@ -0,0 +1,206 @@
+//! Finding a free place at one of a service's endpoints.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::{StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
+use tokio::time::{sleep_until, timeout};
+
+use super::{Guarded, Job, NoPlace, Placed};
+use crate::{
+    decide::place::{Candidate, Order, Standing, order},
+    proxy::{
+        Proxy, clock,
+        events::Event,
+        message::{Grant, Refusal, Reserve, Reserved, path},
+        peer::LinkError,
+        view::EndpointRow,
+    },
+};
+
+/// How long one guard is waited for before another is asked too: a few round trips between data
+/// centres. All asked guards keep the wish in their queues; the first free place is taken.
+const ASK_ANOTHER_AFTER: Duration = Duration::from_millis(15);
+/// How many guards hold a wish at first: more shorten the wait little and cost calls.
+const WISHES: usize = 4;
+/// After this one more guard may hold a wish: some of the first may be behind a cut, and their
+/// silence looks like a queue.
+const ONE_MORE_WISH: Duration = Duration::from_millis(60);
+/// The part of the goal that a class of unknown length is taken to work.
+const UNKNOWN_WORK: u32 = 3;
+
+impl Proxy {
+    /// Waits for a free place at one of the service's endpoints.
+    pub(super) async fn place(self: &Rc<Self>, job: &Job, tried: &[Box<str>]) -> Result<Placed, NoPlace> {
+        let start = clock::now();
+        let result = self.find_place(job, tried, start).await;
+        job.waited.set(job.waited.get() + clock::now().saturating_duration_since(start));
+        result
+    }
+
+    async fn find_place(self: &Rc<Self>, job: &Job, tried: &[Box<str>], start: Instant) -> Result<Placed, NoPlace> {
+        /// Refusals that were stale news are worth another look; more of them are not.
+        const LOOKS: u32 = 3;
+        let patience = self.patience(job);
+        for _ in 0..LOOKS {
+            let (guards, order) = self.candidates(job, tried);
+            if guards.is_empty() {
+                return Err(NoPlace::NoEndpoint);
+            }
+            let left = patience.saturating_duration_since(clock::now());
+            match timeout(left, self.ask(job, &guards, &order, patience, start)).await {
+                Ok(Some(it)) => return Ok(it),
+                Ok(None) => (),
+                Err(_) => return Err(NoPlace::Full),
+            }
+        }
+        Err(NoPlace::Full)
+    }
+
+    /// Until when waiting for a place makes sense.
+    fn patience(&self, job: &Job) -> Instant {
+        let route = job.route();
+        let usual = self.ingress.borrow().pace.mean(&route.name).unwrap_or(route.goal / UNKNOWN_WORK);
+        let by_goal = job.arrived + route.goal.saturating_sub(usual).max(route.goal / UNKNOWN_WORK);
+        let end = self.stop_at.get().map_or(job.give_up, |it| job.give_up.min(it));
+        let by_deadline = end.checked_sub(usual).unwrap_or(job.arrived);
+        if job.is_call() { by_deadline } else { by_goal.min(by_deadline) }
+    }
+
+    fn candidates(&self, job: &Job, tried: &[Box<str>]) -> (Vec<Guarded>, Order) {
+        let now = clock::now();
+        let settings = self.settings.borrow();
+        let view = self.view.borrow();
+        let links = self.links.borrow();
+        let fits = |it: &&EndpointRow| it.service == job.service && !tried.contains(&it.id);
+        let mut guards = Vec::new();
+        let mut candidates = Vec::new();
+        if let Some(it) = self.guard.row().as_ref().filter(fits) {
+            let (running, waiting) = self.guard.load();
+            guards.push(Guarded::Here);
+            candidates.push(Candidate {
+                near: true,
+                standing: standing(it),
+                path_rests: false,
+                load: running + waiting,
+                slots: it.slots,
+            });
+        }
+        for row in view.rows() {
+            let Some(it) = row.endpoint.as_ref().filter(fits) else { continue };
+            let Ok(at) = links.binary_search_by(|it| it.0.cmp(&row.name)) else { continue };
+            let link = &links[at].1;
+            guards.push(Guarded::There(row.name.clone(), Rc::clone(link)));
+            candidates.push(Candidate {
+                near: row.data_centre == settings.data_centre,
+                standing: standing(it),
+                path_rests: link.rests(now),
+                load: link.load(now),
+                slots: it.slots,
+            });
+        }
+        let order = order(&candidates, job.idempotent(), &mut rand::rng());
+        (guards, order)
+    }
+
+    /// Asks guards in order until one gives a place; `None` if all refused.
+    async fn ask(
+        self: &Rc<Self>,
+        job: &Job,
+        guards: &[Guarded],
+        order: &Order,
+        patience: Instant,
+        start: Instant,
+    ) -> Option<Placed> {
+        let mut rest = order.ask.iter();
+        let mut wishes: FuturesUnordered<LocalBoxFuture<'_, (usize, Result<Grant, Refusal>)>> = FuturesUnordered::new();
+        let mut asked = 0;
+        let begin = tokio::time::Instant::now();
+        loop {
+            let more = begin.elapsed().as_millis() / ONE_MORE_WISH.as_millis();
+            let held = WISHES + usize::try_from(more).unwrap_or(usize::MAX - WISHES);
+            if wishes.len() < held
+                && let Some(at) = rest.next()
+            {
+                asked += 1;
+                wishes.push(Box::pin(self.wish(job, &guards[*at], *at, order.last_resort, patience)));
+            }
+            let pause = if wishes.len() < held { ASK_ANOTHER_AFTER } else { ONE_MORE_WISH };
+            let another = tokio::time::Instant::now() + pause;
+            let can_ask = rest.len() > 0;
+            tokio::select! {
+                done = wishes.next() => {
+                    let (at, result) = done?;
+                    let guard = &guards[at];
+                    let waited = clock::now().saturating_duration_since(start).as_millis();
+                    match result {
+                        Ok(grant) => {
+                            self.events.emit(&Event::Placed {
+                                request: &job.request,
+                                guard: guard.name(self),
+                                endpoint: &grant.endpoint,
+                                attempt: job.attempts.get() + 1,
+                                waited_ms: waited,
+                                asked,
+                            });
+                            return Some(Placed { guard: guard.clone(), grant });
+                        }
+                        Err(why) => {
+                            self.events.emit(&Event::NoPlace { request: &job.request, guard: guard.name(self), why, told_ms: waited });
+                            if wishes.is_empty() && rest.len() == 0 {
+                                return None;
+                            }
+                        }
+                    }
+                }
+                () = sleep_until(another), if can_ask => (),
+            }
+        }
+    }
+
+    async fn wish(
+        self: &Rc<Self>,
+        job: &Job,
+        guard: &Guarded,
+        at: usize,
+        last_resort: bool,
+        patience: Instant,
+    ) -> (usize, Result<Grant, Refusal>) {
+        let req = Reserve {
+            from: self.name.clone(),
+            version: self.version(),
+            service: job.service.clone(),
+            route: job.route().name.clone(),
+            idempotent: job.idempotent(),
+            arrival: job.next_arrival(),
+            call: job.is_call(),
+            rank: job.route().rank,
+            useful_for: patience.saturating_duration_since(clock::now()),
+            last_resort,
+        };
+        let link = match guard {
+            Guarded::Here => return (at, self.guard.reserve(&req, self.surroundings(&req)).await),
+            Guarded::There(_, link) => link,
+        };
+        link.asking();
+        match link.call::<_, Reserved>(path::RESERVE, &req).await {
+            Ok(it) => {
+                self.take_news(it.news);
+                (at, it.result)
+            }
+            Err(error) => {
+                if !matches!(error, LinkError::NotConnected) {
+                    link.failed(clock::now());
+                }
+                log::debug!("request {}: {error}", job.request);
+                (at, Err(Refusal::Elsewhere))
+            }
+        }
+    }
+}
+
+fn standing(row: &EndpointRow) -> Standing {
+    if row.suspect { Standing::Trial } else { Standing::Clean }
+}
