Stand-ins: proxies of tests listen at addresses of their own

Finding: one to four cases of standins/tests/platform.rs failed in half of the runs beside other work, first seen as a_caller_that_leaves_frees_the_endpoint. Cause, from the proxies' own words (now printed): "Address already in use"; ports that were free a moment ago had been taken by other tests' listeners and connections.

--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -28,7 +28,11 @@
 /// The host of all routes.
 pub const HOST: &str = "desk.example";
 
+/// The ports of a proxy, at an address of its own: callers, peers, announcements, readiness, metrics.
+const PORTS: [u16; 5] = [7100, 7101, 7102, 7103, 7104];
+
 static SITES: AtomicU32 = AtomicU32::new(1);
+static PROXIES: AtomicU32 = AtomicU32::new(1);
 
 /// A proxy's process and addresses.
 pub struct Proxy {
@@ -70,7 +74,8 @@
     pub fn add(&mut self, service: &str, data_centre: &str, slots: u32, work: Duration) -> io::Result<()> {
         let number = self.proxies.len() + 1;
         let endpoint = Endpoint::start(service, &format!("i-{number}"), slots, work)?;
-        let ports = free_addresses(5)?;
+        let address = own_address()?;
+        let ports = PORTS.map(|it| SocketAddr::from((address, it)));
         let settings = self.folder.join(format!("vm-{number}.toml"));
         let log = self.folder.join(format!("vm-{number}.log"));
         let text = format!(
@@ -107,7 +112,11 @@
 
     /// Waits until every proxy is ready and knows `endpoints` endpoints that take work.
     pub fn wait_for(&self, endpoints: usize) -> bool {
-        eventually(|| self.proxies.iter().all(|it| it.is_ready() && it.known_endpoints() == endpoints))
+        let found = eventually(|| self.proxies.iter().all(|it| it.is_ready() && it.known_endpoints() == endpoints));
+        if !found {
+            self.proxies.iter().for_each(Proxy::complain);
+        }
+        found
     }
 }
 
@@ -142,6 +151,13 @@
         rows.iter().chain([&status["row"]]).filter(|it| it["endpoint"].is_object()).count()
     }
 
+    /// Prints what it wrote beside its event lines, and what it knows.
+    fn complain(&self) {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let words: Vec<&str> = text.lines().filter(|it| !it.starts_with('{')).collect();
+        eprintln!("{}: {words:?}; status {}", self.settings.display(), self.status());
+    }
+
     /// Its event lines.
     pub fn events(&self) -> Vec<Value> {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
@@ -193,7 +209,8 @@
     let out = fs::OpenOptions::new().create(true).append(true).open(log)?;
     let mut command = Command::new(fleet::program("jayreach")?);
     command.arg("proxy").arg("--settings").arg(settings);
-    command.stdin(Stdio::null()).stdout(out).stderr(Stdio::null()).spawn()
+    let err = out.try_clone()?;
+    command.stdin(Stdio::null()).stdout(out).stderr(err).spawn()
 }
 
 fn keep_announcing(endpoint: Endpoint, proxy: SocketAddr, announcing: Arc<AtomicBool>) {
@@ -206,10 +223,12 @@
     });
 }
 
-/// Addresses that nobody listens at; all are taken at once, so they differ.
-fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+/// An address of its own for each proxy: on a shared one, ports that were free a moment ago are taken
+/// by other tests' listeners and connections.
+fn own_address() -> io::Result<Ipv4Addr> {
+    let number = u8::try_from(PROXIES.fetch_add(1, Ordering::Relaxed)).map_err(io::Error::other)?;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ok(Ipv4Addr::new(127, 64 + high % 64, low, number))
 }
 
 /// Whether `condition` comes to hold within the patience of these tests.
