--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -39,7 +39,7 @@
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("A proxy fleet for back ends with gray failures")
-        .footer("Operators write targets; the system is responsible for outcomes. See docs/OPERATING.md.")
+        .footer("Operators write targets; the system is responsible for outcomes. See docs/OPERATIONS.md.")
 }
 
 /// Run a daemon beside the endpoints of this VM
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -157,10 +157,11 @@
 fn no_place(answer: &Line, about: &[Line]) -> String {
     let refused = |why: &str| about.iter().filter(|it| &*it.event == "no-place" && it.text("why") == why).count();
     format!(
-        "No place became free in {} ms at {}: of the guards asked, {} had a suspect endpoint, {} were full, {} had none that \
+        "No place became free in {} ms at {}: of {} guards asked, {} had a suspect endpoint, {} were full, {} had none that \
          takes work, {} had no allowance for repeats left; the others' queues did not move in time. It has not run.",
         answer.number("waited_ms"),
         answer.text("service"),
+        answer.number("asked"),
         refused("Suspect"),
         refused("Full"),
         refused("Elsewhere"),
@@ -196,14 +197,19 @@
     let (Some(first), Some(last)) = (about.first(), about.last()) else {
         return format!("No proxy had version {version} in force.");
     };
-    let mut proxies: Vec<&str> = all.iter().map(|it| &*it.proxy).collect();
-    proxies.sort_unstable();
-    proxies.dedup();
     let from_peers = about.iter().filter(|it| it.text("source") == "peer").count();
     format!(
         "Version {version} was in force at {} of {} proxies within {:.3} s of the first; {from_peers} had it from a peer.",
-        about.len(),
-        proxies.len(),
+        proxies(about),
+        proxies(all),
         last.time - first.time
     )
 }
+
+/// How many proxies wrote these lines; one that restarted counts once.
+fn proxies(lines: &[Line]) -> usize {
+    let mut names: Vec<&str> = lines.iter().map(|it| &*it.proxy).collect();
+    names.sort_unstable();
+    names.dedup();
+    names.len()
+}
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -79,7 +79,12 @@
 
     fn observe(&self, req: &Request<Incoming>) -> Answer {
         match req.uri().path() {
-            "/metrics" => answer(StatusCode::OK, self.metrics.render()),
+            "/metrics" => {
+                let (running, waiting) = self.guard.load();
+                metrics::gauge!("jayreach_running").set(f64::from(running));
+                metrics::gauge!("jayreach_waiting").set(f64::from(waiting));
+                answer(StatusCode::OK, self.metrics.render())
+            }
             "/status" => json(StatusCode::OK, self.status()),
             _ => answer(StatusCode::NOT_FOUND, Bytes::new()),
         }
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -85,6 +85,8 @@
     pub outcome: &'a str,
     /// Whether running work waited for it.
     pub call: bool,
+    /// Guards it asked for a place.
+    pub asked: u32,
     /// Endpoints it was sent to.
     pub attempts: u32,
     /// From its arrival.
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -82,6 +82,8 @@
     /// The answer is given by then.
     give_up: Instant,
     attempts: Cell<u32>,
+    /// Guards that were asked for a place.
+    asked: Cell<u32>,
     /// Attempts that may have reached an endpoint and have no end yet, or an unknown one.
     open: Cell<u32>,
     waited: Cell<Duration>,
@@ -191,6 +193,7 @@
         work_until: caller_deadline.min(arrived + route.timeout),
         give_up: caller_deadline.min(arrived + route.timeout + TIMEOUT_SLACK),
         attempts: Cell::new(0),
+        asked: Cell::new(0),
         open: Cell::new(0),
         waited: Cell::default(),
         route: at,
@@ -301,6 +304,7 @@
             status: resp.status().as_u16(),
             outcome,
             call: job.is_call(),
+            asked: job.asked.get(),
             attempts: job.attempts.get(),
             took_ms: took.as_millis(),
             waited_ms: job.waited.get().as_millis(),
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -125,6 +125,7 @@
                 && let Some(at) = rest.next()
             {
                 asked += 1;
+                job.asked.set(job.asked.get() + 1);
                 wishes.push(Box::pin(self.wish(job, &guards[*at], *at, order.last_resort, patience)));
             }
             let pause = if wishes.len() < held { ASK_ANOTHER_AFTER } else { ONE_MORE_WISH };
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -44,6 +44,7 @@
         status,
         outcome: "answered",
         call: false,
+        asked: 1,
         attempts: 1,
         took_ms: 5,
         waited_ms: 1,
@@ -152,10 +153,12 @@
     let all = written(&[
         Event::Config { version: 12, before: 0, source: "store", routes: 3 },
         Event::Config { version: 14, before: 12, source: "peer", routes: 3 },
+        Event::Started { version: "0" },
+        Event::Config { version: 14, before: 0, source: "store", routes: 3 },
     ]);
 
     let history = explain(&all, &Subject::Config(14));
 
-    assert!(history.cause.contains("in force at 1 of 1 proxies"), "{}", history.cause);
+    assert!(history.cause.contains("in force at 1 of 1 proxies"), "a restart counts once: {}", history.cause);
     assert!(history.cause.contains("1 had it from a peer"), "{}", history.cause);
 }
