--- a/src/proxy/guard/announced.rs
+++ b/src/proxy/guard/announced.rs
@@ -2,14 +2,14 @@
 
 use std::rc::Rc;
 
-use super::{Announced, Endpoint, EndpointPhase, GrantPhase, Guard, Heard, State};
+use super::{Announced, Endpoint, EndpointPhase, Guard, Heard, State};
 use crate::{
     decide::suspicion::Record,
     proxy::{
         clock,
         endpoint::EndpointPool,
         events::Event,
-        message::{GrantId, NotRun, RunEnd},
+        message::{NotRun, RunEnd},
         view::EndpointId,
     },
 };
@@ -117,8 +117,7 @@
             Some(_) | None => retire(&mut state, id.into()),
         }
         // Places that are offered and not used yet are taken back: the ingress is told "not run".
-        let offered: Vec<GrantId> =
-            state.given.iter().filter(|it| it.phase == GrantPhase::Offered).map(|it| it.id).collect();
+        let offered = state.ledger.offered();
         drop(state);
         for grant in offered {
             self.end(grant, RunEnd::NotRun(NotRun::NoGrant));
--- /dev/null
+++ b/src/proxy/guard/ledger.rs
@@ -0,0 +1,174 @@
+//! The places of one guard: each is used once, and what became of it is remembered for a while.
+//!
+//! Pure: this is what makes "not run" true, so it is checked by itself against messages that are lost,
+//! late and doubled, and guards that restart (tests/places.rs).
+
+use std::time::{Duration, Instant};
+
+use crate::proxy::{
+    message::{Grant, GrantId, NotRun, RunEnd},
+    routes::RouteName,
+    view::{EndpointId, Incarnation},
+};
+
+/// How long an end is remembered for an ingress that lost its connection.
+const ENDED_KEPT: Duration = Duration::from_secs(20);
+/// How many ends are remembered at most; far above slots times the runs of 20 s.
+const ENDED_COUNT: usize = 512;
+/// How many bytes of answers are remembered at most.
+const ENDED_BYTES: usize = 16 << 20;
+
+/// What a place is given for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Purpose {
+    /// The work's class.
+    pub route: RouteName,
+    /// Whether the work may run again.
+    pub idempotent: bool,
+    /// Whether it counts as a repeat.
+    pub repeat: bool,
+    /// Whether the endpoint is suspect.
+    pub trial: bool,
+}
+
+/// The work that uses a place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Running {
+    /// The caller's attempt.
+    pub request: Box<str>,
+    /// Whether it is a repeat, or was called by one.
+    pub repeat: bool,
+    /// A call that it made was not answered well, so its own failure is not the endpoint's.
+    pub call_failed: bool,
+}
+
+/// A place that is offered or in use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Given {
+    id: GrantId,
+    endpoint: EndpointId,
+    /// What it is for.
+    pub purpose: Purpose,
+    /// What uses it; `None` while it is offered.
+    pub running: Option<Running>,
+}
+
+struct Ended {
+    id: GrantId,
+    end: RunEnd,
+    at: Instant,
+}
+
+impl Ended {
+    fn bytes(&self) -> usize {
+        match &self.end {
+            RunEnd::Answered { content, .. } => content.body.len(),
+            RunEnd::NotRun(_) | RunEnd::Unknown(_) => 0,
+        }
+    }
+}
+
+/// What is known of a place.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Known {
+    /// It is offered and not used yet.
+    Offered,
+    /// It is in use.
+    Running,
+    /// It was used, or taken back.
+    Ended(RunEnd),
+    /// It is another run's, or was forgotten: it may have been used.
+    Unknown,
+}
+
+/// The places of one run of a guard.
+pub struct Ledger {
+    incarnation: Incarnation,
+    /// Offered or in use; bounded by the endpoint's slots.
+    given: Vec<Given>,
+    /// In the order of their ends. An unused place stands here as not run, so it never runs later.
+    ended: Vec<Ended>,
+    /// The last number given; numbers are never used again.
+    last: GrantId,
+}
+
+impl Ledger {
+    /// Of a guard that has just started.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { incarnation, given: Vec::new(), ended: Vec::new(), last: 0 }
+    }
+
+    /// Offers a place at an endpoint.
+    pub fn offer(&mut self, endpoint: EndpointId, purpose: Purpose) -> Grant {
+        self.last += 1;
+        let grant = Grant { id: self.last, guard: self.incarnation, endpoint: endpoint.clone() };
+        self.given.push(Given { id: self.last, endpoint, purpose, running: None });
+        grant
+    }
+
+    /// Places that are offered or in use.
+    pub fn len(&self) -> usize {
+        self.given.len()
+    }
+
+    /// Whether no place is offered or in use.
+    pub fn is_empty(&self) -> bool {
+        self.given.is_empty()
+    }
+
+    /// Places that were given while the endpoint was suspect.
+    pub fn trials(&self) -> usize {
+        self.given.iter().filter(|it| it.purpose.trial).count()
+    }
+
+    /// Places that are offered and not used yet.
+    pub fn offered(&self) -> Vec<GrantId> {
+        self.given.iter().filter(|it| it.running.is_none()).map(|it| it.id).collect()
+    }
+
+    /// The place `id`, while it is offered or in use.
+    pub fn given(&self, id: GrantId) -> Option<&Given> {
+        self.given.iter().find(|it| it.id == id)
+    }
+
+    /// The place that the work `request` uses.
+    pub fn used_by(&mut self, request: &str) -> Option<&mut Given> {
+        self.given.iter_mut().find(|it| it.running.as_ref().is_some_and(|it| *it.request == *request))
+    }
+
+    /// Uses a place, once; `None` if it is not offered by this run, or for another endpoint.
+    pub fn begin(&mut self, grant: &Grant, running: Running) -> Option<&Given> {
+        let ours = grant.guard == self.incarnation;
+        let fits = |it: &&mut Given| it.id == grant.id && it.endpoint == grant.endpoint && it.running.is_none();
+        let given = self.given.iter_mut().find(fits).filter(|_| ours)?;
+        given.running = Some(running);
+        Some(given)
+    }
+
+    /// Ends a place and remembers how, unless its work may simply run again.
+    pub fn end(&mut self, id: GrantId, end: RunEnd, now: Instant) -> Option<Given> {
+        let at = self.given.iter().position(|it| it.id == id)?;
+        let given = self.given.swap_remove(at);
+        if !given.purpose.idempotent || end == RunEnd::NotRun(NotRun::NoGrant) {
+            self.ended.push(Ended { id, end, at: now });
+        }
+        self.ended.retain(|it| now.saturating_duration_since(it.at) < ENDED_KEPT);
+        let mut bytes: usize = self.ended.iter().map(Ended::bytes).sum();
+        while self.ended.len() > ENDED_COUNT || bytes > ENDED_BYTES {
+            bytes -= self.ended.remove(0).bytes();
+        }
+        Some(given)
+    }
+
+    /// What is known of a place.
+    pub fn look_up(&self, grant: &Grant) -> Known {
+        if grant.guard != self.incarnation {
+            return Known::Unknown;
+        }
+        if let Some(it) = self.given(grant.id) {
+            return if it.running.is_none() { Known::Offered } else { Known::Running };
+        }
+        let ended = self.ended.iter().find(|it| it.id == grant.id);
+        ended.map_or(Known::Unknown, |it| Known::Ended(it.end.clone()))
+    }
+}
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -1,6 +1,7 @@
 //! The only way to the VM's endpoint: places, the queue, and what became of each place.
 
 mod announced;
+pub mod ledger;
 mod places;
 mod runs;
 
@@ -24,7 +25,8 @@
         clock,
         endpoint::EndpointPool,
         events::Events,
-        message::{Grant, GrantId, Refusal, RunEnd},
+        guard::ledger::Ledger,
+        message::{Grant, Refusal},
         routes::{RouteName, ServiceName},
         view::{EndpointId, EndpointRow, Incarnation},
     },
@@ -95,12 +97,6 @@
     cold_until: Instant,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum GrantPhase {
-    Offered,
-    Running,
-}
-
 /// Where a request of this VM began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Origin {
@@ -113,41 +109,6 @@
     },
 }
 
-struct Running {
-    request: Box<str>,
-    repeat: bool,
-    /// A call that it made was not answered well, so its own failure is not the endpoint's.
-    call_failed: bool,
-}
-
-struct Given {
-    id: GrantId,
-    route: RouteName,
-    idempotent: bool,
-    /// It counts as a repeat.
-    repeat: bool,
-    /// It was given while the endpoint was suspect.
-    trial: bool,
-    /// What runs there, once it does.
-    run: Option<Running>,
-    phase: GrantPhase,
-}
-
-struct Ended {
-    id: GrantId,
-    end: RunEnd,
-    at: Instant,
-}
-
-impl Ended {
-    fn bytes(&self) -> usize {
-        match &self.end {
-            RunEnd::Answered { content, .. } => content.body.len(),
-            RunEnd::NotRun(_) | RunEnd::Unknown(_) => 0,
-        }
-    }
-}
-
 type PlaceSender = oneshot::Sender<Result<Grant, Refusal>>;
 
 struct State {
@@ -157,22 +118,19 @@
     queue: WaitQueue,
     /// One for each waiter in the queue.
     senders: Vec<(WaiterId, PlaceSender)>,
-    /// Places that are offered or in use; their number is bounded by the endpoint's slots.
-    given: Vec<Given>,
-    /// In the order of their ends.
-    ended: Vec<Ended>,
+    ledger: Ledger,
     pace: Pace,
     allowance: Allowance,
     /// How many guards share the allowance of the endpoint's service.
     guards: usize,
     /// Which services the work of a class called here; sorted.
     calls: Vec<(RouteName, ServiceName)>,
-    next_id: u64,
+    /// The last number given to a waiter.
+    last_waiter: WaiterId,
 }
 
 /// The guard of this VM's endpoint.
 pub struct Guard {
-    incarnation: Incarnation,
     announce_every: Duration,
     events: Rc<Events>,
     state: RefCell<State>,
@@ -188,7 +146,6 @@
     /// A guard that knows no endpoint yet.
     pub fn new(incarnation: Incarnation, announce_every: Duration, terms: Terms, events: Rc<Events>) -> Self {
         Self {
-            incarnation,
             announce_every,
             events,
             state: RefCell::new(State {
@@ -196,13 +153,12 @@
                 retired: Vec::new(),
                 queue: WaitQueue::default(),
                 senders: Vec::new(),
-                given: Vec::new(),
-                ended: Vec::new(),
+                ledger: Ledger::new(incarnation),
                 pace: Pace::default(),
                 allowance: Allowance::new(terms, clock::now()),
                 guards: 1,
                 calls: Vec::new(),
-                next_id: 0,
+                last_waiter: 0,
             }),
             run_ended: Notify::new(),
             changed: Notify::new(),
@@ -225,7 +181,7 @@
     /// Requests at the endpoint or permitted, and requests that wait.
     pub fn load(&self) -> (u32, u32) {
         let state = self.state.borrow();
-        (count(state.given.len()), count(state.queue.len()))
+        (count(state.ledger.len()), count(state.queue.len()))
     }
 
     /// Where a request of this VM for `service` began. Endpoints put the id of the work before the
@@ -233,13 +189,14 @@
     pub fn origin(&self, request: &str, service: &str) -> Origin {
         let Some((parent, _)) = request.rsplit_once('.') else { return Origin::Caller };
         let mut state = self.state.borrow_mut();
-        let State { given, calls, .. } = &mut *state;
-        let mut running = given.iter().filter_map(|it| Some((it, it.run.as_ref()?)));
-        let Some((given, run)) = running.find(|it| *it.1.request == *parent) else { return Origin::Caller };
-        if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(&given.route, service))) {
-            calls.insert(at, (given.route.clone(), service.into()));
+        let State { ledger, calls, .. } = &mut *state;
+        let Some(given) = ledger.used_by(parent) else { return Origin::Caller };
+        let route = &given.purpose.route;
+        if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(route, service))) {
+            calls.insert(at, (route.clone(), service.into()));
         }
-        Origin::Call { of_repeat: run.repeat }
+        let of_repeat = given.running.as_ref().is_some_and(|it| it.repeat);
+        Origin::Call { of_repeat }
     }
 
     /// Whether work of `route` called a service here for which `tight` holds.
@@ -258,15 +215,15 @@
     pub fn call_failed(&self, request: &str) {
         let Some((parent, _)) = request.rsplit_once('.') else { return };
         let mut state = self.state.borrow_mut();
-        let mut running = state.given.iter_mut().filter_map(|it| it.run.as_mut());
-        if let Some(it) = running.find(|it| *it.request == *parent) {
+        let running = state.ledger.used_by(parent).and_then(|it| it.running.as_mut());
+        if let Some(it) = running {
             it.call_failed = true;
         }
     }
 
     /// How many runs are under way.
     pub fn running(&self) -> usize {
-        self.state.borrow().given.len()
+        self.state.borrow().ledger.len()
     }
 
     /// Whether no endpoint is known.
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -4,7 +4,7 @@
 
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
-use super::{EndpointPhase, Given, GrantPhase, Guard, State, Surroundings, count};
+use super::{EndpointPhase, Guard, State, Surroundings, count, ledger::Purpose};
 use crate::{
     decide::wait_queue::{Waiter, WaiterId},
     proxy::{
@@ -31,7 +31,7 @@
             if announced.service != req.service || announced.phase == EndpointPhase::Leaving {
                 return Err(Refusal::Elsewhere);
             }
-            if !req.last_resort && !endpoint.record.admits(req.idempotent, trials(&state.given), now) {
+            if !req.last_resort && !endpoint.record.admits(req.idempotent, count(state.ledger.trials()), now) {
                 return Err(Refusal::Suspect);
             }
             state.guards = known.guards;
@@ -39,8 +39,8 @@
             if req.arrival == Arrival::Repeat && !allowed {
                 return Err(Refusal::NoAllowance);
             }
-            state.next_id += 1;
-            let id = state.next_id;
+            state.last_waiter += 1;
+            let id = state.last_waiter;
             state.queue.push(Waiter {
                 id,
                 call: req.call,
@@ -65,7 +65,7 @@
     pub(super) fn pump(self: &Rc<Self>) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let State { endpoint, queue, senders, given, next_id, allowance, guards, .. } = &mut *state;
+        let State { endpoint, queue, senders, ledger, allowance, guards, .. } = &mut *state;
         let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
         let Some(endpoint) = serving else {
             queue.drain();
@@ -81,8 +81,8 @@
             endpoint.announced.slots
         };
         let mut offered = Vec::new();
-        while count(given.len()) < limit {
-            let trials = trials(given);
+        while count(ledger.len()) < limit {
+            let trials = count(ledger.trials());
             let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
             let admits = |it: &Waiter| {
                 (it.last_resort || endpoint.record.admits(it.idempotent, trials, now))
@@ -91,22 +91,19 @@
             let Some(waiter) = queue.next(now, admits) else { break };
             let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
             let (_, tx) = senders.swap_remove(at);
-            *next_id += 1;
-            let id = *next_id;
-            let grant = Grant { id, guard: self.incarnation, endpoint: endpoint.announced.id.clone() };
-            if tx.send(Ok(grant)).is_err() {
-                continue;
-            }
-            allowance.count(waiter.repeat, now);
-            given.push(Given {
-                id,
+            let purpose = Purpose {
                 route: waiter.route,
                 idempotent: waiter.idempotent,
                 repeat: waiter.repeat,
                 trial: endpoint.record.is_suspect(),
-                run: None,
-                phase: GrantPhase::Offered,
-            });
+            };
+            let grant = ledger.offer(endpoint.announced.id.clone(), purpose);
+            let id = grant.id;
+            if tx.send(Ok(grant)).is_err() {
+                ledger.end(id, RunEnd::NotRun(NotRun::NoGrant), now);
+                continue;
+            }
+            allowance.count(waiter.repeat, now);
             offered.push(id);
         }
         // Work that can't begin here is better off elsewhere.
@@ -131,7 +128,7 @@
         let guard = Rc::clone(self);
         spawn_local(async move {
             sleep(GRANT_TTL).await;
-            let unused = guard.state.borrow().given.iter().any(|it| it.id == id && it.phase == GrantPhase::Offered);
+            let unused = guard.state.borrow().ledger.offered().contains(&id);
             if unused {
                 guard.end(id, RunEnd::NotRun(NotRun::NoGrant));
             }
@@ -139,10 +136,6 @@
     }
 }
 
-fn trials(given: &[Given]) -> u32 {
-    count(given.iter().filter(|it| it.trial).count())
-}
-
 /// A wish for a place, taken back when its future is dropped.
 struct Wish<'a> {
     guard: &'a Rc<Guard>,
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -4,7 +4,10 @@
 
 use tokio::{task::spawn_local, time::timeout};
 
-use super::{Ended, GrantPhase, Guard, Running, State};
+use super::{
+    Guard, State,
+    ledger::{Known, Running},
+};
 use crate::{
     decide::suspicion::Sample,
     proxy::{
@@ -15,12 +18,6 @@
     },
 };
 
-/// How long the end of a run is remembered for an ingress that lost its connection.
-const ENDED_KEPT: Duration = Duration::from_secs(20);
-/// How many ends are remembered at most; far above slots times the runs of 20 s.
-const ENDED_COUNT: usize = 512;
-/// How many bytes of answers are remembered at most.
-const ENDED_BYTES: usize = 16 << 20;
 /// How long an [`Ask`](crate::proxy::message::Ask) waits for a run to end.
 const ASK_WAIT: Duration = Duration::from_secs(10);
 /// Work is overdue after this many times its usual length, and `OVERDUE_MORE`.
@@ -38,29 +35,24 @@
         let Some((pool, idempotent, overdue)) = self.begin(&run) else {
             return RunEnd::NotRun(NotRun::NoGrant);
         };
-        let grant = run.grant.id;
+        let grant = run.grant.clone();
         let work = Rc::clone(self).execute(run, pool, overdue);
         if idempotent {
-            let _cancel = Cancel { guard: self, grant };
+            let _cancel = Cancel { guard: self, grant: grant.id };
             return work.await;
         }
         spawn_local(work);
-        self.ended(grant).await
+        self.ended(&grant).await
     }
 
     fn begin(&self, run: &Run) -> Option<(Rc<EndpointPool>, bool, Duration)> {
-        let grant = &run.grant;
-        if grant.guard != self.incarnation {
-            return None;
-        }
         let mut state = self.state.borrow_mut();
-        let State { endpoint, given, pace, .. } = &mut *state;
-        let endpoint = endpoint.as_ref().filter(|it| it.announced.id == grant.endpoint)?;
-        let given = given.iter_mut().find(|it| it.id == grant.id && it.phase == GrantPhase::Offered)?;
-        given.phase = GrantPhase::Running;
-        given.run = Some(Running { request: run.request.clone(), repeat: run.repeat, call_failed: false });
-        let overdue = pace.mean(&given.route).map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE);
-        Some((Rc::clone(&endpoint.pool), given.idempotent, overdue))
+        let State { endpoint, ledger, pace, .. } = &mut *state;
+        let endpoint = endpoint.as_ref().filter(|it| it.announced.id == run.grant.endpoint)?;
+        let running = Running { request: run.request.clone(), repeat: run.repeat, call_failed: false };
+        let purpose = &ledger.begin(&run.grant, running)?.purpose;
+        let overdue = pace.mean(&purpose.route).map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE);
+        Some((Rc::clone(&endpoint.pool), purpose.idempotent, overdue))
     }
 
     async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, overdue: Duration) -> RunEnd {
@@ -99,9 +91,9 @@
         /// An endpoint that ends this close to its deadline ran out of time.
         const CLOSE: Duration = Duration::from_millis(100);
         let state = self.state.borrow();
-        let Some(given) = state.given.iter().find(|it| it.id == grant.id) else { return };
-        let route = given.route.clone();
-        let call_failed = given.run.as_ref().is_some_and(|it| it.call_failed);
+        let Some(given) = state.ledger.given(grant.id) else { return };
+        let route = given.purpose.route.clone();
+        let call_failed = given.running.as_ref().is_some_and(|it| it.call_failed);
         let failure = Sample::failure(took, state.pace.mean(&route));
         drop(state);
         let (sample, why) = match end {
@@ -145,20 +137,11 @@
     pub(super) fn end(self: &Rc<Self>, grant: GrantId, end: RunEnd) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let Some(at) = state.given.iter().position(|it| it.id == grant) else { return };
-        let given = state.given.swap_remove(at);
         let unused = end == RunEnd::NotRun(NotRun::NoGrant);
-        if unused && given.repeat {
+        let Some(given) = state.ledger.end(grant, end, now) else { return };
+        if unused && given.purpose.repeat {
             state.allowance.refund(now);
         }
-        if !given.idempotent || unused {
-            state.ended.push(Ended { id: grant, end, at: now });
-        }
-        state.ended.retain(|it| now.saturating_duration_since(it.at) < ENDED_KEPT);
-        let mut bytes: usize = state.ended.iter().map(Ended::bytes).sum();
-        while state.ended.len() > ENDED_COUNT || bytes > ENDED_BYTES {
-            bytes -= state.ended.remove(0).bytes();
-        }
         drop(state);
         self.run_ended.notify_waiters();
         self.pump();
@@ -166,31 +149,24 @@
 
     /// What became of a place; one that was not used yet is taken back.
     pub async fn ask(self: &Rc<Self>, grant: &Grant) -> RunEnd {
-        if grant.guard != self.incarnation {
-            return RunEnd::Unknown(Unknown::GuardGone);
-        }
-        let offered = self.state.borrow().given.iter().any(|it| it.id == grant.id && it.phase == GrantPhase::Offered);
-        if offered {
+        let known = self.state.borrow().ledger.look_up(grant);
+        if known == Known::Offered {
             self.end(grant.id, RunEnd::NotRun(NotRun::NoGrant));
         }
-        timeout(ASK_WAIT, self.ended(grant.id)).await.unwrap_or(RunEnd::Unknown(Unknown::Silent))
+        timeout(ASK_WAIT, self.ended(grant)).await.unwrap_or(RunEnd::Unknown(Unknown::Silent))
     }
 
-    async fn ended(&self, grant: GrantId) -> RunEnd {
+    async fn ended(&self, grant: &Grant) -> RunEnd {
         loop {
             let ended = self.run_ended.notified();
             tokio::pin!(ended);
             ended.as_mut().enable();
-            {
-                let state = self.state.borrow();
-                if let Some(it) = state.ended.iter().find(|it| it.id == grant) {
-                    return it.end.clone();
-                }
-                if !state.given.iter().any(|it| it.id == grant) {
-                    return RunEnd::Unknown(Unknown::GuardGone);
-                }
+            let known = self.state.borrow().ledger.look_up(grant);
+            match known {
+                Known::Offered | Known::Running => ended.await,
+                Known::Ended(it) => return it,
+                Known::Unknown => return RunEnd::Unknown(Unknown::GuardGone),
             }
-            ended.await;
         }
     }
 }
