One way to read settings; one fetch of a configuration at a time; fewer lines for rows

Read as a newcomer: both kinds of settings had their own copy of reading a file and collecting findings; every message that told of a newer version started a fetch of the whole configuration; each turn of an endpoint wrote a full line at every proxy (now sampled like other ordinary lines; its guard's line is always written).

--- a/src/document.rs
+++ b/src/document.rs
@@ -1,13 +1,13 @@
 //! Reads TOML with the place of every key, so that all findings of a file come at once.
 
-use std::{cell::RefCell, net::SocketAddr, ops::Range, time::Duration};
+use std::{cell::RefCell, fs, net::SocketAddr, ops::Range, path::Path, time::Duration};
 
 use toml::{
     Spanned,
     de::{DeTable, DeValue},
 };
 
-use crate::error::{Findings, Place};
+use crate::error::{Error, Findings, Place};
 
 /// A file's text and the findings collected so far.
 pub struct Document<'a> {
@@ -262,3 +262,30 @@
     let millis = duration.as_millis();
     if millis.is_multiple_of(1_000) { format!("{}s", millis / 1_000).into() } else { format!("{millis}ms").into() }
 }
+
+/// Reads a file of settings; all findings are returned together.
+pub fn load<T>(path: &Path, parse: impl FnOnce(&str, &str) -> Result<T, Findings>) -> Result<T, Error> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|it| Error::io(name.clone(), it))?;
+    parse(&name, &text).map_err(Error::Findings)
+}
+
+/// Parses settings with `read`, which returns `None` if something that must be there is not; all
+/// findings are returned together, unknown keys included.
+pub fn parse_settings<T>(
+    file: &str,
+    text: &str,
+    title: &str,
+    read: impl FnOnce(&mut Section<'_>) -> Option<T>,
+) -> Result<T, Findings> {
+    let doc = Document::new(file, text);
+    let table = doc.parse();
+    let mut section = Section::new(&doc, title, 0, table.get_ref());
+    let settings = read(&mut section);
+    section.close(|_| None);
+    let findings = doc.close();
+    match settings {
+        Some(it) if findings.is_empty() => Ok(it),
+        _ => Err(findings),
+    }
+}
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -115,7 +115,8 @@
         match self {
             Self::Placed { attempt, .. } => *attempt == 1,
             Self::Answered(it) => it.status < 300 && it.attempts <= 1,
-            Self::NoPlace { .. } => true,
+            // Each turn of each endpoint is told at every proxy, and written in full at its guard.
+            Self::NoPlace { .. } | Self::Row { endpoint: None, .. } => true,
             _ => false,
         }
     }
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -24,8 +24,9 @@
 const GATHER: Duration = Duration::from_millis(20);
 /// How long a greeting may take.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a whole configuration may take from a peer.
-const CONFIG_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a whole configuration may take from a peer: half of the time in which it must be in force,
+/// so that another peer can be asked.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
 /// A new version is told to the next peers by name after this: by then those who watch the store
 /// know it themselves.
 const RELAY_AFTER: Duration = Duration::from_millis(300);
@@ -230,12 +231,17 @@
     /// Fetches the configuration from a peer that has a newer one.
     fn fetch_config(self: &Rc<Self>, name: &str) {
         let Some(link) = self.link(name) else { return };
+        // Many messages tell of a new version; one fetch is enough.
+        if self.fetching.replace(true) {
+            return;
+        }
         let proxy = Rc::clone(self);
         spawn_local(async move {
-            let wanted = proxy.version();
-            if let Some(Some(it)) = link.call_within::<_, Option<Config>>(CONFIG_TIMEOUT, path::CONFIG, &wanted).await {
+            let known = proxy.version();
+            if let Some(Some(it)) = link.call_within::<_, Option<Config>>(CONFIG_TIMEOUT, path::CONFIG, &known).await {
                 proxy.put_in_force(it, "peer");
             }
+            proxy.fetching.set(false);
         });
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -67,6 +67,8 @@
     /// The configuration in force; its version never goes down.
     config: RefCell<Option<Rc<Config>>>,
     config_changed: Notify,
+    /// A configuration is being fetched from a peer.
+    fetching: Cell<bool>,
     view: RefCell<View>,
     /// Sorted by name; one for each row of the view.
     links: RefCell<Vec<(ProxyName, Rc<Link>)>>,
@@ -124,6 +126,7 @@
             events,
             config: RefCell::default(),
             config_changed: Notify::new(),
+            fetching: Cell::new(false),
             view: RefCell::default(),
             links: RefCell::default(),
             ingress: RefCell::default(),
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -1,9 +1,9 @@
 //! The settings of one proxy, read from its TOML file.
 
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use crate::{
-    document::{Document, Section},
+    document::{self, Section},
     error::{Error, Findings},
     proxy::view::ProxyName,
 };
@@ -46,23 +46,12 @@
 impl Settings {
     /// Reads the file at `path`; all findings are returned together.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let name = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|it| Error::io(name.clone(), it))?;
-        Self::parse(&name, &text).map_err(Error::Findings)
+        document::load(path, Self::parse)
     }
 
     /// Parses `text`; all findings are returned together.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
-        let doc = Document::new(file, text);
-        let table = doc.parse();
-        let mut section = Section::new(&doc, "the proxy's settings", 0, table.get_ref());
-        let settings = read(&mut section);
-        section.close(|_| None);
-        let findings = doc.close();
-        match settings {
-            Some(it) if findings.is_empty() => Ok(it),
-            _ => Err(findings),
-        }
+        document::parse_settings(file, text, "the proxy's settings", read)
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,9 @@
 //! The settings of one daemon, read from its TOML file.
 
-use std::{fs, net::SocketAddr, path::Path};
+use std::{net::SocketAddr, path::Path};
 
 use crate::{
-    document::{Document, Section},
+    document::{self, Section},
     error::{Error, Findings},
     rows::DaemonId,
 };
@@ -49,23 +49,12 @@
 impl Settings {
     /// Reads the file at `path`.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let name = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|it| Error::io(name.clone(), it))?;
-        Self::parse(&name, &text).map_err(Error::Findings)
+        document::load(path, Self::parse)
     }
 
     /// Parses `text`; all findings are returned together.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
-        let doc = Document::new(file, text);
-        let table = doc.parse();
-        let mut section = Section::new(&doc, "the settings", 0, table.get_ref());
-        let settings = read(&mut section);
-        section.close(|_| None);
-        let findings = doc.close();
-        match settings {
-            Some(it) if findings.is_empty() => Ok(it),
-            _ => Err(findings),
-        }
+        document::parse_settings(file, text, "the settings", read)
     }
 }
 
