A second SIGTERM grants the whole grace anew

Cause, from the event lines: the proxy had got SIGTERM at 20.695 s (removal of its endpoint) and another one at 25.700 s (a rolling stop); it gave its last answers by the first grace, at 26.196 s, half a second into the second. Ruled out: the link to the guard (up), the route's timeout.

Change: each SIGTERM sets the end anew; what is taken is still bounded by the first. Test, 502 before and 504 after: a_second_sigterm_grants_the_whole_grace_anew.

--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -40,8 +40,15 @@
             _ = look.tick() => proxy.reload(),
         }
     }
-    proxy.finish().await;
-    Ok(())
+    let finish = proxy.finish();
+    tokio::pin!(finish);
+    loop {
+        tokio::select! {
+            () = &mut finish => return Ok(()),
+            // The platform grants the whole grace anew; to end by the first would cut what it still allows.
+            _ = term.recv() => proxy.set_end("SIGTERM again"),
+        }
+    }
 }
 
 impl Proxy {
@@ -63,15 +70,12 @@
     async fn finish(self: &Rc<Self>) {
         let start = clock::now();
         let grace = self.settings.borrow().grace;
-        let stop_at = start + grace.saturating_sub(LAST);
-        self.stop_at.set(Some(stop_at));
         self.takes_until.set(Some(start + grace.mul_f64(TAKES_PART)));
-        self.stops.notify_waiters();
-        self.events.emit(&Event::Stopping { why: "SIGTERM", running: self.requests.get() + self.guard.running() });
+        self.set_end("SIGTERM");
         self.guard.stop();
         self.guard.changed.notify_one();
         let removal = self.store.remove_presence(&self.name);
-        let finished = self.finished(start, stop_at + LAST_ANSWERS);
+        let finished = self.finished(start);
         let (removed, ()) = tokio::join!(removal, finished);
         if let Err(error) = removed {
             log::debug!("this proxy's object stays in the store: {error}");
@@ -81,6 +85,14 @@
         sleep(Duration::from_millis(20)).await;
     }
 
+    /// Sets when the process must have given all its answers: shortly before the grace ends.
+    fn set_end(&self, why: &str) {
+        let grace = self.settings.borrow().grace;
+        self.stop_at.set(Some(clock::now() + grace.saturating_sub(LAST)));
+        self.stops.notify_waiters();
+        self.events.emit(&Event::Stopping { why, running: self.requests.get() + self.guard.running() });
+    }
+
     /// Waits until a stopping process has to give its last answers.
     pub(super) async fn last_call(&self) {
         while self.stop_at.get().is_none() {
@@ -91,12 +103,14 @@
         }
     }
 
-    async fn finished(&self, start: Instant, end: Instant) {
+    /// Waits until nothing is under way and callers have gone, or the end has come.
+    async fn finished(&self, start: Instant) {
         loop {
             sleep(LOOK_EVERY).await;
             let now = clock::now();
             let idle = self.requests.get() + self.guard.running() == 0;
-            if now >= end || (idle && now >= start + LINGER) {
+            let over = self.stop_at.get().is_some_and(|it| now >= it + LAST_ANSWERS);
+            if over || (idle && now >= start + LINGER) {
                 return;
             }
         }
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -436,6 +436,21 @@
     assert!(arrivals(&site, "r-late").is_empty());
 }
 
+#[test]
+fn a_second_sigterm_grants_the_whole_grace_anew() {
+    let site = site();
+    set_modes(&site, EndpointMode::Hangs);
+    site.proxies[2].signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(1_000));
+    let stream = call("GET /read/x", "r-1").send(site.proxies[2].callers).expect("a connection");
+    thread::sleep(Duration::from_millis(800));
+
+    site.proxies[2].signal(Signal::TERM);
+    let answer = http::read(&mut BufReader::new(stream)).expect("an answer").expect("not just an end");
+
+    assert_eq!(answer.status(), 504, "the route's timeout ends it, not the first grace: {answer:?}");
+}
+
 #[test]
 fn a_guard_that_is_killed_leaves_no_false_promise() {
     let mut site = site();
