Idempotent work that was silent until its time is over is a 504

Cause, from the event lines it prints now: not the stop. The guard notices the end of the time 40 ms before the ingress; for idempotent work with an attempt left the ingress then looked for another place in those 40 ms, found none, and said "may have run" (502). Change: silence ends the request with 504, as it does for other work.

a_stop_cuts_nothing_that_was_taken failed once, too: it looked whether the process had ended 0 ms after its listeners had closed. It waits for the end now, within the tests' patience; that the process must end stays.

--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -67,9 +67,12 @@
                 }
                 RunEnd::Unknown(why) => {
                     self.failed(job, &placed, Failure::Unknown(why), took);
+                    // Silence lasts until the time is over: there is none left for another attempt.
+                    if why == Unknown::Silent {
+                        return Verdict::OutOfTime;
+                    }
                     if !job.idempotent() || !self.may_repeat(job) {
-                        let silent = why == Unknown::Silent;
-                        return if silent { Verdict::OutOfTime } else { Verdict::Unknown };
+                        return Verdict::Unknown;
                     }
                     tried.push(placed.grant.endpoint);
                 }
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -193,9 +193,16 @@
         Ok(())
     }
 
-    /// Whether the process has ended.
-    pub fn ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+    /// Whether the process ends by itself within the patience of these tests.
+    pub fn ends(&mut self) -> bool {
+        let deadline = Instant::now() + PATIENCE;
+        while Instant::now() < deadline {
+            if !matches!(self.child.try_wait(), Ok(None)) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
     }
 
     /// Its endpoint announces itself no more.
@@ -243,11 +250,6 @@
     false
 }
 
-/// Whether something listens at `address`.
-pub fn listens(address: SocketAddr) -> bool {
-    TcpStream::connect(address).is_ok()
-}
-
 /// A route of the operator's configuration.
 pub fn route(prefix: &str, kind: &str, rank: u32, services: &[(&str, u32)]) -> Value {
     let clusters: Vec<Value> = services.iter().map(|it| json!({"service": it.0, "weight": it.1})).collect();
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -399,9 +399,8 @@
     });
 
     assert!(ends.iter().all(|it| *it == Ok(200)), "{ends:?}");
-    assert!(eventually(|| !standins::platform::site::listens(site.proxies[0].callers)));
+    assert!(site.proxies[0].ends(), "the process ends by itself");
     assert!(!site.proxies[0].is_ready());
-    assert!(site.proxies[0].ended());
 }
 
 #[test]
@@ -448,7 +447,9 @@
     site.proxies[2].signal(Signal::TERM);
     let answer = http::read(&mut BufReader::new(stream)).expect("an answer").expect("not just an end");
 
-    assert_eq!(answer.status(), 504, "the route's timeout ends it, not the first grace: {answer:?}");
+    let stopping: Vec<_> = site.proxies[2].events().into_iter().filter(|it| it["event"] == "stopping").collect();
+    let cause = cause(&site, "r-1");
+    assert_eq!(answer.status(), 504, "the route's timeout ends it, not the first grace: {cause} {stopping:?}");
 }
 
 #[test]
