Unused places don't raise the allowance; a quarter of its slack is handed out

Causes found: a first arrival was counted when its place was given and not taken back when the place was not used; the window's steps covered 9.5 to 10 s. Change beside it: a quarter of the slack is handed out, not half.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -3,14 +3,15 @@
 //! Load pattern: gray endpoints, endpoints that shed, and stalls make every ingress want to send work
 //! again at once. The fleet may do so, at each service, for a share of its requests and a fixed slack
 //! in each window. No messages: guards see every arrival at their endpoint, and each keeps the rule
-//! for these with an equal part of half the slack, over its own sliding window, so that the sum over
-//! the service's guards keeps it too. The other half of the slack is the margin for guards that come
+//! for these with an equal part of a quarter of the slack, over its own sliding window, so that the sum over
+//! the service's guards keeps it too. The rest of the slack is the margin for guards that come
 //! and go, and for calls of repeated work, which are counted and can't be held back.
 
 use std::time::{Duration, Instant};
 
-/// The part of the slack that is handed out.
-const SLACK_USED: f64 = 0.5;
+/// The part of the slack that is handed out. At half of it a hunted day with all endpoints shedding had up to
+/// 3 arrivals in 200 too many; where these come from is not known yet (docs/HUNTS.md).
+const SLACK_USED: f64 = 0.25;
 /// The part that repeats of callers' requests may use; the rest is for repeats of calls, since a call
 /// that fails wastes the work that waits for it, and a caller that is refused can come back.
 const CALLERS_PART: f64 = 0.6;
@@ -31,8 +32,10 @@
 /// What happened in one step of the window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct Step {
-    first: u32,
-    repeats: u32,
+    /// Below zero where a place that an earlier step counted was given back.
+    first: i32,
+    /// As above.
+    repeats: i32,
 }
 
 /// The allowance at one guard.
@@ -62,18 +65,20 @@
         }
     }
 
-    /// Takes back a repeat that did not arrive after all.
-    pub fn refund(&mut self, now: Instant) {
+    /// Takes back what was counted for a place that was not used: nothing arrived. Places are often
+    /// given by two guards at once under load, and firsts that never came would raise the allowance.
+    pub fn refund(&mut self, repeat: bool, now: Instant) {
         let step = self.step(now);
-        step.repeats = step.repeats.saturating_sub(1);
+        let counted = if repeat { &mut step.repeats } else { &mut step.first };
+        *counted -= 1;
     }
 
     /// Whether one more repeat may arrive, of a call or of a caller's request, with `guards` sharing
     /// the slack.
     pub fn allows(&mut self, call: bool, guards: usize, now: Instant) -> bool {
         self.step(now);
-        let first: u32 = self.steps.iter().map(|it| it.first).sum();
-        let repeats: u32 = self.steps.iter().map(|it| it.repeats).sum();
+        let first: i32 = self.steps.iter().map(|it| it.first).sum();
+        let repeats: i32 = self.steps.iter().map(|it| it.repeats).sum();
         let slack = self.terms.slack * SLACK_USED / guards.max(1) as f64;
         let part = if call { 1.0 } else { CALLERS_PART };
         f64::from(repeats) + 1.0 <= (f64::from(first) * self.terms.ratio + slack) * part
@@ -81,7 +86,8 @@
 
     /// The current step; those that lie a window back are emptied.
     fn step(&mut self, now: Instant) -> &mut Step {
-        let length = self.terms.window / STEPS as u32;
+        // The oldest step is partly outside: the steps together cover the window at least.
+        let length = self.terms.window / (STEPS as u32 - 1);
         let passed = now.saturating_duration_since(self.start).as_nanos() / length.as_nanos().max(1);
         let at = u64::try_from(passed).unwrap_or(u64::MAX).max(self.current);
         for step in (self.current + 1..=at).take(STEPS) {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -139,8 +139,8 @@
         let mut state = self.state.borrow_mut();
         let unused = end == RunEnd::NotRun(NotRun::NoGrant);
         let Some(given) = state.ledger.end(grant, end, now) else { return };
-        if unused && given.purpose.repeat {
-            state.allowance.refund(now);
+        if unused {
+            state.allowance.refund(given.purpose.repeat, now);
         }
         drop(state);
         self.run_ended.notify_waiters();
--- a/tests/proxy_decisions.rs
+++ b/tests/proxy_decisions.rs
@@ -234,20 +234,38 @@
 #[test]
 fn a_repeat_that_did_not_arrive_is_given_back() {
     let now = Instant::now();
-    let terms = Terms { ratio: 0.2, slack: 4.0, window: Duration::from_secs(10) };
+    let terms = Terms { ratio: 0.2, slack: 8.0, window: Duration::from_secs(10) };
     let mut allowance = Allowance::new(terms, now);
     allowance.count(true, now);
     allowance.count(true, now);
 
     let used_up = !allowance.allows(true, 1, now);
-    allowance.refund(now);
+    allowance.refund(true, now);
 
-    assert!(used_up, "half the slack is handed out");
+    assert!(used_up, "a quarter of the slack is handed out");
     assert!(!allowance.allows(false, 1, now), "callers' repeats leave a part to those of calls");
     assert!(allowance.allows(true, 1, now));
     assert!(allowance.allows(true, 1, now + Duration::from_secs(11)));
 }
 
+#[test]
+fn first_arrivals_that_never_came_allow_no_repeats() {
+    let now = Instant::now();
+    let terms = Terms { ratio: 0.2, slack: 0.0, window: Duration::from_secs(10) };
+    let mut allowance = Allowance::new(terms, now);
+    for _ in 0..10 {
+        allowance.count(false, now);
+    }
+
+    let before = allowance.allows(true, 1, now);
+    for _ in 0..8 {
+        allowance.refund(false, now + MS);
+    }
+
+    assert!(before, "two repeats for ten requests");
+    assert!(!allowance.allows(true, 1, now + MS), "two requests allow none");
+}
+
 // Placing
 
 fn candidate(near: bool, standing: Standing, load: u32) -> Candidate {
