--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: few endpoints a service, unlike in speed, in several data centres; what is known of
 //! their load is a moment old. Near ones go first while they are not much fuller, since bytes between
-//! data centres are dear; suspects are tried with idempotent work now and then, so that a sound one
+//! data centres are dear; suspects are tried with work that can be repeated now and then, so that a sound one
 //! comes back within a second or two.
 
 use rand::{Rng, RngExt as _};
@@ -11,7 +11,7 @@
 const NEAR_BONUS: f32 = 1.0;
 /// The spread that keeps ingresses that know the same from choosing the same.
 const JITTER: f32 = 0.15;
-/// The chance that idempotent work goes to a suspect whose rest is over: at some ten idempotent
+/// The chance that a trial goes to a suspect whose rest is over: at some ten idempotent
 /// requests a second a service and three suspects this tries each about once a second.
 const TRIAL_CHANCE: f64 = 0.4;
 
@@ -52,13 +52,13 @@
 
 /// Orders the candidates for one piece of work.
 ///
-/// Of the suspects, idempotent work asks one only: most of them rest, and each refusal costs a round
-/// trip.
-pub fn order(candidates: &[Candidate], idempotent: bool, rng: &mut impl Rng) -> Order {
+/// Of the suspects, work that [may be a trial](super::suspicion::may_be_trial) asks one only: most of them
+/// rest, and each refusal costs a round trip.
+pub fn order(candidates: &[Candidate], trial: bool, rng: &mut impl Rng) -> Order {
     let clean = |it: &Candidate| it.standing == Standing::Clean;
     let last_resort = !candidates.iter().any(|it| clean(it) && !it.path_rests);
     let mut ask = sorted(candidates, |it| last_resort || clean(it), rng);
-    if idempotent && !last_resort {
+    if trial && !last_resort {
         let suspects = sorted(candidates, |it| it.standing == Standing::Trial && !it.path_rests, rng);
         if !suspects.is_empty() {
             let one = suspects[rng.random_range(0..suspects.len())];
--- a/src/decide/suspicion.rs
+++ b/src/decide/suspicion.rs
@@ -43,6 +43,14 @@
     }
 }
 
+/// Whether a suspect may be tried with work that was sent to `attempts` of at most `max_attempts` endpoints.
+///
+/// Trials fail more often than not, so only work that is sure to be sent to another endpoint afterwards
+/// bears them: it must be idempotent, with an attempt and an allowance left for the repeat.
+pub fn may_be_trial(idempotent: bool, attempts: u32, max_attempts: u32, allowance_used: bool) -> bool {
+    idempotent && attempts + 2 <= max_attempts && !allowance_used
+}
+
 /// The recent record of one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Record {
@@ -105,11 +113,12 @@
 
     /// Whether work may be begun, with `trials` begun during this suspicion and not ended.
     ///
-    /// A trial is one piece of idempotent work at a time, one more for each good answer.
-    pub fn admits(&self, idempotent: bool, trials: u32, now: Instant) -> bool {
+    /// A suspect takes work that [may be a trial](may_be_trial), one piece at a time, one more for each
+    /// good answer.
+    pub fn admits(&self, trial: bool, trials: u32, now: Instant) -> bool {
         match self.suspect {
             None => true,
-            Some(it) => idempotent && now >= it.rests_until && trials <= it.good,
+            Some(it) => trial && now >= it.rests_until && trials <= it.good,
         }
     }
 }
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -21,6 +21,8 @@
     pub rank: u32,
     /// Whether it may run again.
     pub idempotent: bool,
+    /// Whether a suspect endpoint may be tried with it.
+    pub trial: bool,
     /// Whether suspicion of the endpoint is to be ignored.
     pub last_resort: bool,
     /// When it came.
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -31,7 +31,7 @@
             if announced.service != req.service || announced.phase == EndpointPhase::Leaving {
                 return Err(Refusal::Elsewhere);
             }
-            if !req.last_resort && !endpoint.record.admits(req.idempotent, count(state.ledger.trials()), now) {
+            if !req.last_resort && !endpoint.record.admits(req.trial, count(state.ledger.trials()), now) {
                 return Err(Refusal::Suspect);
             }
             state.guards = known.guards;
@@ -46,6 +46,7 @@
                 call: req.call,
                 rank: req.rank,
                 idempotent: req.idempotent,
+                trial: req.trial,
                 last_resort: req.last_resort,
                 arrived: now,
                 useful_until: now + req.useful_for,
@@ -85,7 +86,7 @@
             let trials = count(ledger.trials());
             let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
             let admits = |it: &Waiter| {
-                (it.last_resort || endpoint.record.admits(it.idempotent, trials, now))
+                (it.last_resort || endpoint.record.admits(it.trial, trials, now))
                     && (allowed[usize::from(it.call)] || !it.needs_allowance)
             };
             let Some(waiter) = queue.next(now, admits) else { break };
@@ -107,7 +108,7 @@
             offered.push(id);
         }
         // Work that can't begin here is better off elsewhere.
-        let suspect = |it: &Waiter| !it.last_resort && !endpoint.record.admits(it.idempotent, 0, now);
+        let suspect = |it: &Waiter| !it.last_resort && !endpoint.record.admits(it.trial, 0, now);
         let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
         let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowed[usize::from(it.call)]);
         while let Some(waiter) = queue.next(now, refused) {
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -234,12 +234,16 @@
 impl Proxy {
     /// What this proxy knows that bears on a place at its guard.
     pub(super) fn surroundings(&self, req: &Reserve) -> Surroundings {
-        let now = clock::now();
-        let state = self.ingress.borrow();
-        let tight = |service: &str| state.tight.iter().any(|it| *it.0 == *service && now < it.1);
+        let tight = |service: &str| self.allowance_used(service);
         Surroundings { guards: self.guards_of(&req.service), calls_tight: self.guard.calls_any(&req.route, tight) }
     }
 
+    /// Whether a guard of `service` told just now that its allowance for repeats is used up.
+    fn allowance_used(&self, service: &str) -> bool {
+        let now = clock::now();
+        self.ingress.borrow().tight.iter().any(|it| *it.0 == *service && now < it.1)
+    }
+
     /// A guard of `service` told whether its allowance for repeats is used up.
     pub(super) fn note_allowance(&self, service: &str, used: bool) {
         if !used {
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -10,7 +10,10 @@
 
 use super::{Guarded, Job, NoPlace, Placed};
 use crate::{
-    decide::place::{Candidate, Order, Standing, order},
+    decide::{
+        place::{Candidate, Order, Standing, order},
+        suspicion,
+    },
     proxy::{
         Proxy, clock,
         events::Event,
@@ -101,10 +104,15 @@
                 slots: it.slots,
             });
         }
-        let order = order(&candidates, job.idempotent(), &mut rand::rng());
+        let order = order(&candidates, self.may_be_trial(job), &mut rand::rng());
         (guards, order)
     }
 
+    fn may_be_trial(&self, job: &Job) -> bool {
+        let used = self.allowance_used(&job.service);
+        suspicion::may_be_trial(job.idempotent(), job.attempts.get(), job.route().max_attempts, used)
+    }
+
     /// Asks guards in order until one gives a place; `None` if all refused.
     async fn ask(
         self: &Rc<Self>,
@@ -175,6 +183,7 @@
             service: job.service.clone(),
             route: job.route().name.clone(),
             idempotent: job.idempotent(),
+            trial: self.may_be_trial(job),
             arrival: job.next_arrival(),
             call: job.is_call(),
             rank: job.route().rank,
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -52,6 +52,8 @@
     pub route: RouteName,
     /// Whether the work may run again.
     pub idempotent: bool,
+    /// Whether a suspect endpoint may be tried with it.
+    pub trial: bool,
     /// What it is to the allowance for repeats.
     pub arrival: Arrival,
     /// Whether running work waits for this.
--- a/tests/proxy_decisions.rs
+++ b/tests/proxy_decisions.rs
@@ -27,6 +27,7 @@
         call,
         rank,
         idempotent: true,
+        trial: true,
         last_resort: false,
         arrived,
         useful_until: arrived + useful,
