The allowance for repeats is a token bucket at each guard

Traced by printing offers: a guard with 62 requests in the window had granted 31 repeats, for the 140 it had before. Change: a bucket, filled with the ratio of first arrivals, emptied by repeats. In whichever window a guard's repeats are at most the ratio of its own first arrivals plus the bucket. Three quarters of the slack are handed out, a quarter before; a guard that has just started begins with one repeat. The setting retry_window_s is needless and gone. Conclusion: the rule is kept by construction.

--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -22,7 +22,6 @@
         wait_queue::{WaitQueue, WaiterId},
     },
     proxy::{
-        clock,
         endpoint::EndpointPool,
         events::Events,
         guard::ledger::Ledger,
@@ -121,8 +120,6 @@
     ledger: Ledger,
     pace: Pace,
     allowance: Allowance,
-    /// How many guards share the allowance of the endpoint's service.
-    guards: usize,
     /// Which services the work of a class called here; sorted.
     calls: Vec<(RouteName, ServiceName)>,
     /// The last number given to a waiter.
@@ -155,8 +152,7 @@
                 senders: Vec::new(),
                 ledger: Ledger::new(incarnation),
                 pace: Pace::default(),
-                allowance: Allowance::new(terms, clock::now()),
-                guards: 1,
+                allowance: Allowance::new(terms),
                 calls: Vec::new(),
                 last_waiter: 0,
             }),
@@ -206,9 +202,7 @@
 
     /// Whether no repeat may arrive now.
     pub fn allowance_used(&self) -> bool {
-        let mut state = self.state.borrow_mut();
-        let guards = state.guards;
-        !state.allowance.allows(true, guards, clock::now())
+        !self.state.borrow().allowance.allows(true)
     }
 
     /// A call of work that runs here was not answered well.
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -34,8 +34,8 @@
             if !req.last_resort && !endpoint.record.admits(req.trial, count(state.ledger.trials()), now) {
                 return Err(Refusal::Suspect);
             }
-            state.guards = known.guards;
-            let allowed = !known.calls_tight && state.allowance.allows(req.call, known.guards, now);
+            state.allowance.share_with(known.guards);
+            let allowed = !known.calls_tight && state.allowance.allows(req.call);
             if req.arrival == Arrival::Repeat && !allowed {
                 return Err(Refusal::NoAllowance);
             }
@@ -66,7 +66,7 @@
     pub(super) fn pump(self: &Rc<Self>) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let State { endpoint, queue, senders, ledger, allowance, guards, .. } = &mut *state;
+        let State { endpoint, queue, senders, ledger, allowance, .. } = &mut *state;
         let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
         let Some(endpoint) = serving else {
             queue.drain();
@@ -84,11 +84,8 @@
         let mut offered = Vec::new();
         while count(ledger.len()) < limit {
             let trials = count(ledger.trials());
-            let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
-            let admits = |it: &Waiter| {
-                (it.last_resort || endpoint.record.admits(it.trial, trials, now))
-                    && (allowed[usize::from(it.call)] || !it.needs_allowance)
-            };
+            let allowed = |it: &Waiter| allowance.allows(it.call) || !it.needs_allowance;
+            let admits = |it: &Waiter| (it.last_resort || endpoint.record.admits(it.trial, trials, now)) && allowed(it);
             let Some(waiter) = queue.next(now, admits) else { break };
             let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
             let (_, tx) = senders.swap_remove(at);
@@ -104,13 +101,12 @@
                 ledger.end(id, RunEnd::NotRun(NotRun::NoGrant), now);
                 continue;
             }
-            allowance.count(waiter.repeat, now);
+            allowance.count(waiter.repeat);
             offered.push(id);
         }
         // Work that can't begin here is better off elsewhere.
         let suspect = |it: &Waiter| !it.last_resort && !endpoint.record.admits(it.trial, 0, now);
-        let allowed = [allowance.allows(false, *guards, now), allowance.allows(true, *guards, now)];
-        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowed[usize::from(it.call)]);
+        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowance.allows(it.call));
         while let Some(waiter) = queue.next(now, refused) {
             let why = if suspect(&waiter) { Refusal::Suspect } else { Refusal::NoAllowance };
             if let Some(at) = senders.iter().position(|it| it.0 == waiter.id) {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -140,7 +140,7 @@
         let unused = end == RunEnd::NotRun(NotRun::NoGrant);
         let Some(given) = state.ledger.end(grant, end, now) else { return };
         if unused {
-            state.allowance.refund(given.purpose.repeat, now);
+            state.allowance.refund(given.purpose.repeat);
         }
         drop(state);
         self.run_ended.notify_waiters();
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -115,7 +115,7 @@
 impl Proxy {
     fn new(settings: Settings, path: &Path, events: Rc<Events>) -> Result<Self, Error> {
         let incarnation = rand::random();
-        let terms = Terms { ratio: settings.retry_ratio, slack: settings.retry_slack, window: settings.retry_window };
+        let terms = Terms { ratio: settings.retry_ratio, slack: settings.retry_slack };
         Ok(Self {
             name: settings.name.clone(),
             incarnation,
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -37,9 +37,7 @@
     pub grace: Duration,
     /// Arrivals at a service beyond the first of each request, as a share of its requests.
     pub retry_ratio: f64,
-    /// The span over which `retry_ratio` is judged.
-    pub retry_window: Duration,
-    /// Arrivals allowed in each span beyond the ratio, for the whole fleet.
+    /// Arrivals allowed beyond the ratio, for all guards of a service together.
     pub retry_slack: f64,
 }
 
@@ -69,7 +67,6 @@
     let announce_every = section.required_decimal("announce_every_s", 0.01..3_600.0);
     let grace = section.required_decimal("grace_s", 0.5..3_600.0);
     let retry_ratio = section.required_decimal("retry_ratio", 0.0..10.0);
-    let retry_window = section.required_decimal("retry_window_s", 0.1..3_600.0);
     let retry_slack = section.required_decimal("retry_slack", 0.0..1e9);
     Some(Settings {
         name: name?,
@@ -85,7 +82,6 @@
         announce_every: Duration::from_secs_f64(announce_every?),
         grace: Duration::from_secs_f64(grace?),
         retry_ratio: retry_ratio?,
-        retry_window: Duration::from_secs_f64(retry_window?),
         retry_slack: retry_slack?,
     })
 }
