A fault soak of real proxies between relays, on the users' platform's form

standins proxy-soak: separate processes, relays before peers, endpoint and store that delay, cut one way, reset or silence connections; signals in series and overlapping (kill, pause, stop once or twice, reload); endpoints and a store that misbehave; changes of the configuration; callers that use open connections until they are gone. It judges what callers and endpoints saw: ran twice, refused but ran, mixed answers, unasked work, denied, work after an acknowledged leaving, answers lost, versions that went back, crashes, a fleet that is not whole in time. Cause for the new setting advertised: a relay between proxies needs an address other than the one a proxy listens on, as a fleet behind address translation does.

--- a/src/document.rs
+++ b/src/document.rs
@@ -111,7 +111,13 @@
 
     /// An IP number with its port that must be there.
     pub fn required_address(&mut self, key: &'static str) -> Option<SocketAddr> {
-        let text = self.required_text(key)?;
+        self.require(key);
+        self.address(key)
+    }
+
+    /// An IP number with its port, if the key is there.
+    pub fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        let text = self.text(key)?;
         let address = text.parse().ok();
         if address.is_none() {
             self.find(key, format!("`{key}` must be an IP number and port such as \"10.0.0.7:7101\""));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -166,7 +166,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.get(),
             turns: self.turns.get(),
-            peers: settings.peers,
+            peers: settings.advertised,
             data_centre: settings.data_centre.clone(),
             version: self.version(),
             endpoint: if self.is_stopping() { None } else { self.guard.row() },
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -19,8 +19,10 @@
     pub service: Box<str>,
     /// Where callers and the VM's endpoint send requests.
     pub callers: SocketAddr,
-    /// Where other proxies connect.
+    /// Where this proxy listens for other proxies.
     pub peers: SocketAddr,
+    /// Where other proxies connect; `peers` unless something stands between.
+    pub advertised: SocketAddr,
     /// Where the VM's endpoint announces itself.
     pub announcements: SocketAddr,
     /// Where the platform asks for readiness.
@@ -59,6 +61,7 @@
     let service = section.required_text("service");
     let callers = section.required_address("callers");
     let peers = section.required_address("peers");
+    let advertised = section.address("advertised").or(peers);
     let announcements = section.required_address("announcements");
     let readiness = section.required_address("readiness");
     let metrics = section.required_address("metrics");
@@ -74,6 +77,7 @@
         service: service?,
         callers: callers?,
         peers: peers?,
+        advertised: advertised?,
         announcements: announcements?,
         readiness: readiness?,
         metrics: metrics?,
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -84,7 +84,7 @@
     /// lists later sees the other.
     pub(super) async fn join(self: Rc<Self>) {
         let mut backoff = Backoff { proxy: &self, failures: 0 };
-        let presence = PresenceObject { name: self.name.clone(), peers: self.settings.borrow().peers };
+        let presence = PresenceObject { name: self.name.clone(), peers: self.settings.borrow().advertised };
         while let Err(error) = self.store.put_presence(&presence).await {
             backoff.failed(&error).await;
         }
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -9,7 +9,7 @@
     gray,
     idle::{self, IdleOptions},
     load::{self, Load},
-    overload, slopes,
+    overload, platform, slopes,
     soak::{self, FAULTS, SoakOptions},
     store,
 };
@@ -123,6 +123,24 @@
         /// Use a configuration of the size of letter 1
         large: bool,
     },
+    /// Keep proxies between stand-ins of the users' platform under load and faults, and end with a verdict
+    #[bpaf(command)]
+    ProxySoak {
+        /// Seeds the load and the faults
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// How many soaks, with this seed and the next ones
+        #[bpaf(argument("COUNT"), fallback(1))]
+        count: u64,
+        /// For how long each has faults
+        #[bpaf(argument("SECONDS"), fallback(20))]
+        seconds: u64,
+        /// How many proxies
+        #[bpaf(argument("COUNT"), fallback(6))]
+        proxies: usize,
+        /// Print each fault
+        verbose: bool,
+    },
     /// Keep a deployment under load and faults, and end with a verdict
     #[bpaf(command)]
     Soak {
@@ -182,6 +200,16 @@
         Command::Idle { daemons, changes, endpoints, large } => {
             idle::run(IdleOptions { daemons, changes, endpoints, large }).map(|()| true)
         }
+        Command::ProxySoak { seed, count, seconds, proxies, verbose } => {
+            let duration = Duration::from_secs(seconds);
+            let mut holds = true;
+            for seed in seed..seed + count {
+                let verdict = platform::soak::run(&platform::soak::SoakOptions { seed, duration, proxies, verbose })?;
+                println!("seed {seed}: {}: {verdict}", if verdict.holds() { "kept" } else { "BROKEN" });
+                holds &= verdict.holds();
+            }
+            Ok(holds)
+        }
         Command::Soak { seed, minutes, rate } => soak(seed, minutes, rate),
     }
 }
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -119,6 +119,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The service it belongs to.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Makes it misbehave, or not.
     pub fn set_mode(&self, mode: EndpointMode) {
         self.lock().mode = mode;
@@ -126,7 +131,10 @@
 
     /// Replaces it by a new incarnation at the same address.
     pub fn replace(&self, instance: &str) {
-        self.lock().instance = instance.into();
+        let mut state = self.lock();
+        state.instance = instance.into();
+        state.draining = false;
+        drop(state);
         self.sequence.store(1, Ordering::Relaxed);
     }
 
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -5,4 +5,5 @@
 pub mod endpoint;
 pub mod http;
 pub mod site;
+pub mod soak;
 pub mod store;
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -19,6 +19,7 @@
 use crate::{
     fleet,
     platform::{caller::Call, endpoint::Endpoint, store::Store},
+    relay::Relay,
 };
 
 /// How often endpoints announce themselves.
@@ -49,39 +50,75 @@
     pub metrics: SocketAddr,
     /// The endpoint beside it.
     pub endpoint: Endpoint,
+    /// What stands between it and the others, if anything does.
+    pub relays: Option<Relays>,
     announcing: Arc<AtomicBool>,
 }
 
+/// The relays of one proxy.
+#[derive(Debug, Clone)]
+pub struct Relays {
+    /// Other proxies reach it through this.
+    pub peers: Relay,
+    /// It reaches its endpoint through this.
+    pub endpoint: Relay,
+    /// It reaches the store through this.
+    pub store: Relay,
+}
+
+impl Relays {
+    fn start(peers: SocketAddr, endpoint: SocketAddr, store: SocketAddr) -> io::Result<Self> {
+        Ok(Self { peers: Relay::start(peers)?, endpoint: Relay::start(endpoint)?, store: Relay::start(store)? })
+    }
+}
+
 /// A deployment; its processes are killed when it goes out of scope.
 pub struct Site {
     /// The store.
     pub store: Store,
     /// The proxies.
     pub proxies: Vec<Proxy>,
+    relays: bool,
     folder: PathBuf,
 }
 
 impl Site {
     /// Starts the store alone.
     pub fn start() -> io::Result<Self> {
+        Self::start_with(false)
+    }
+
+    /// Starts the store; each proxy that is added will stand between relays.
+    pub fn start_with_relays() -> io::Result<Self> {
+        Self::start_with(true)
+    }
+
+    fn start_with(relays: bool) -> io::Result<Self> {
         let number = SITES.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("jayreach-site-{}-{number}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        Ok(Self { store: Store::start()?, proxies: Vec::new(), folder })
+        Ok(Self { store: Store::start()?, proxies: Vec::new(), relays, folder })
     }
 
     /// Adds an endpoint with a proxy beside it.
     pub fn add(&mut self, service: &str, data_centre: &str, slots: u32, work: Duration) -> io::Result<()> {
         let number = self.proxies.len() + 1;
-        let endpoint = Endpoint::start(service, &format!("i-{number}"), slots, work)?;
+        let mut endpoint = Endpoint::start(service, &format!("i-{number}"), slots, work)?;
         let address = own_address()?;
         let ports = PORTS.map(|it| SocketAddr::from((address, it)));
+        let (mut advertised, mut store) = (ports[1], self.store.address);
+        let mut relays = None;
+        if self.relays {
+            let it = Relays::start(ports[1], endpoint.address, store)?;
+            (advertised, endpoint.address, store) = (it.peers.address, it.endpoint.address, it.store.address);
+            relays = Some(it);
+        }
         let settings = self.folder.join(format!("vm-{number}.toml"));
         let log = self.folder.join(format!("vm-{number}.log"));
         let text = format!(
             "name = \"vm-{number}\"\ndata_centre = \"{data_centre}\"\nservice = \"{service}\"\ncallers = \"{}\"\n\
-             peers = \"{}\"\nannouncements = \"{}\"\nreadiness = \"{}\"\nmetrics = \"{}\"\nendpoint = \"{}\"\n\
-             store = \"{}\"\nannounce_every_s = {}\ngrace_s = 3\nretry_ratio = 0.2\n\
+             peers = \"{}\"\nadvertised = \"{advertised}\"\nannouncements = \"{}\"\nreadiness = \"{}\"\nmetrics = \"{}\"\nendpoint = \"{}\"\n\
+             store = \"{store}\"\nannounce_every_s = {}\ngrace_s = 3\nretry_ratio = 0.2\n\
              retry_slack = 60\n",
             ports[0],
             ports[1],
@@ -89,7 +126,6 @@
             ports[3],
             ports[4],
             endpoint.address,
-            self.store.address,
             ANNOUNCE_EVERY.as_secs_f64(),
         );
         fs::write(&settings, text)?;
@@ -105,6 +141,7 @@
             readiness: ports[3],
             metrics: ports[4],
             endpoint,
+            relays,
             announcing,
         });
         Ok(())
@@ -140,19 +177,25 @@
 
     /// Its status, as JSON.
     pub fn status(&self) -> Value {
+        Self::status_at(self.metrics)
+    }
+
+    /// The status of the proxy with this metrics address; null if there is none.
+    pub fn status_at(metrics: SocketAddr) -> Value {
         let call = Call { line: "GET /status", host: "status", request: "", deadline: PATIENCE, body: b"" };
-        let answer = call.answer(self.metrics).ok();
+        let answer = call.answer(metrics).ok();
         answer.and_then(|it| serde_json::from_slice(&it.body).ok()).unwrap_or(Value::Null)
     }
 
-    fn known_endpoints(&self) -> usize {
+    /// How many endpoints it knows that take work.
+    pub fn known_endpoints(&self) -> usize {
         let status = self.status();
         let rows = status["peers"].as_array().cloned().unwrap_or_default();
         rows.iter().chain([&status["row"]]).filter(|it| it["endpoint"].is_object()).count()
     }
 
     /// Prints what it wrote beside its event lines, and what it knows.
-    fn complain(&self) {
+    pub fn complain(&self) {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
         let words: Vec<&str> = text.lines().filter(|it| !it.starts_with('{')).collect();
         eprintln!("{}: {words:?}; status {}", self.settings.display(), self.status());
@@ -193,11 +236,16 @@
         Ok(())
     }
 
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Whether the process ends by itself within the patience of these tests.
     pub fn ends(&mut self) -> bool {
         let deadline = Instant::now() + PATIENCE;
         while Instant::now() < deadline {
-            if !matches!(self.child.try_wait(), Ok(None)) {
+            if self.has_ended() {
                 return true;
             }
             thread::sleep(Duration::from_millis(20));
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -1,65 +1,174 @@
-//! A stand-in for what stands between two ends: it passes connections on, and can lose track of
-//! the open ones, which then go silent for good while new ones work.
+//! A stand-in for what stands between two ends: it passes connections on, and can delay, cut, reset or
+//! silence them.
 
 use std::{
-    io::{self, Read as _, Write as _},
+    io::{self, ErrorKind, Read as _, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
+    time::Duration,
 };
 
-/// A relay before one address.
+use socket2::SockRef;
+
+/// How often a relay looks whether its weather has changed.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What a relay does to what passes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Weather {
+    /// Nothing.
+    #[default]
+    Fair,
+    /// Each piece comes later by this.
+    Delayed(Duration),
+    /// Nothing reaches the target; it comes when the weather changes.
+    CutTo,
+    /// Nothing comes back from the target until the weather changes.
+    CutFrom,
+}
+
+/// Which way a stream goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    To,
+    From,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    weather: Mutex<Weather>,
+    /// Connections of earlier ages than this are silent.
+    age: AtomicU64,
+    /// Connections from before the last of these are reset.
+    resets: AtomicU64,
+}
+
+/// A relay before one address; ends with the process.
+#[derive(Debug, Clone)]
 pub struct Relay {
     /// Where it listens.
     pub address: SocketAddr,
-    /// Connections of earlier ages than this are silent.
-    age: Arc<AtomicU64>,
+    shared: Arc<Shared>,
 }
 
 impl Relay {
-    /// Starts a relay before `target`; it ends with the process.
+    /// Starts a relay before `target`.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let age = Arc::new(AtomicU64::new(0));
-        let ages = Arc::clone(&age);
+        let shared = Arc::new(Shared::default());
+        let relay = Self { address, shared: Arc::clone(&shared) };
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 // A target that is away looks like a connection that ends at once.
                 let Ok(far) = TcpStream::connect(target) else { continue };
-                let born = ages.load(Ordering::Acquire);
-                for (from, to) in [(near.try_clone(), far.try_clone()), (far.try_clone(), near.try_clone())] {
+                for (from, to, way) in
+                    [(near.try_clone(), far.try_clone(), Way::To), (far.try_clone(), near.try_clone(), Way::From)]
+                {
                     let (Ok(from), Ok(to)) = (from, to) else { continue };
-                    let ages = Arc::clone(&ages);
-                    thread::spawn(move || pass(from, to, born, &ages));
+                    let pass = Pass::new(from, to, way, &shared);
+                    thread::spawn(move || pass.run());
                 }
             }
         });
-        Ok(Self { address, age })
+        Ok(relay)
+    }
+
+    /// Changes what happens to all connections, open and new.
+    pub fn set(&self, weather: Weather) {
+        *self.shared.weather.lock().unwrap_or_else(PoisonError::into_inner) = weather;
     }
 
     /// Loses track of all open connections: nothing passes any more, and nobody is told.
     pub fn forget_open(&self) {
-        self.age.fetch_add(1, Ordering::AcqRel);
+        self.shared.age.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Resets all open connections.
+    pub fn reset_open(&self) {
+        self.shared.resets.fetch_add(1, Ordering::AcqRel);
     }
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, born: u64, age: &AtomicU64) {
-    let mut buf = [0; 4096];
-    while let Ok(count) = from.read(&mut buf) {
-        let forgotten = age.load(Ordering::Acquire) != born;
-        match (forgotten, count) {
-            (true, 0) => return,
-            (true, _) => continue,
-            (false, _) => (),
+/// One way of one connection.
+struct Pass {
+    from: TcpStream,
+    to: TcpStream,
+    way: Way,
+    shared: Arc<Shared>,
+    /// The age it was born in.
+    age: u64,
+    /// The resets before it.
+    resets: u64,
+}
+
+impl Pass {
+    fn new(from: TcpStream, to: TcpStream, way: Way, shared: &Arc<Shared>) -> Self {
+        let (age, resets) = (shared.age.load(Ordering::Acquire), shared.resets.load(Ordering::Acquire));
+        Self { from, to, way, shared: Arc::clone(shared), age, resets }
+    }
+
+    fn run(mut self) {
+        _ = self.from.set_read_timeout(Some(LOOK));
+        let mut buf = [0; 4096];
+        while !self.is_reset() {
+            let count = match self.from.read(&mut buf) {
+                Ok(it) => it,
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
+                Err(_) => 0,
+            };
+            if self.is_forgotten() {
+                if count == 0 {
+                    return;
+                }
+                continue;
+            }
+            self.weather();
+            if self.is_forgotten() {
+                continue;
+            }
+            if count == 0 || self.to.write_all(&buf[..count]).is_err() {
+                break;
+            }
+        }
+        if self.is_reset() {
+            // The system resets a connection that is closed so, once nobody holds it any more.
+            for it in [&self.from, &self.to] {
+                _ = SockRef::from(it).set_linger(Some(Duration::ZERO));
+            }
+            return;
         }
-        if count == 0 || to.write_all(&buf[..count]).is_err() {
-            break;
+        // Whoever is still there learns that the other side is gone.
+        _ = self.to.shutdown(Shutdown::Both);
+    }
+
+    /// Waits as long as the weather holds this way up.
+    fn weather(&self) {
+        loop {
+            let weather = *self.shared.weather.lock().unwrap_or_else(PoisonError::into_inner);
+            match (weather, self.way) {
+                (Weather::Delayed(it), _) => {
+                    thread::sleep(it);
+                    return;
+                }
+                (Weather::CutTo, Way::To) | (Weather::CutFrom, Way::From) => thread::sleep(LOOK),
+                (Weather::Fair, _) | (Weather::CutTo, Way::From) | (Weather::CutFrom, Way::To) => return,
+            }
+            if self.is_reset() || self.is_forgotten() {
+                return;
+            }
         }
     }
-    // Whoever is still there learns that the other side is gone.
-    _ = to.shutdown(Shutdown::Both);
+
+    fn is_reset(&self) -> bool {
+        self.shared.resets.load(Ordering::Acquire) != self.resets
+    }
+
+    fn is_forgotten(&self) -> bool {
+        self.shared.age.load(Ordering::Acquire) != self.age
+    }
 }
