Suspects are cleared by work begun meanwhile, tried at intervals, and by any work where none is idempotent

Ruled out: the supply of idempotent work (50 trials a second), paths. Change: good answers count only for work begun during the probation; trials go on with the allowance used up, 0.5 s apart as long as they do not fail, four at most; any work is a trial after 1.5 s without one; the longest rest is 0.9 s; the bucket holds 0.6 of the slack, begins with 0.4 of that and leaves a fifth to calls. Event lines of places say what was known of the endpoint and how old that was.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -9,14 +9,17 @@
 //! wherever the load goes. (A sliding window at each guard did not: each granted repeats for the time when
 //! it had most requests, and these times differ.)
 
+use std::num::NonZeroUsize;
+
 /// The part of the slack that the buckets hold together. The rest is the margin for calls of repeated
 /// work, which count and can't be held back, and for guards that come and go.
-const SLACK_USED: f64 = 0.75;
+const SLACK_USED: f64 = 0.6;
 /// The part of a bucket that repeats of callers' requests leave to repeats of calls, since a call that
 /// fails wastes the work that waits for it, and a caller that is refused can come back.
-const CALLS_PART: f64 = 0.4;
-/// What a guard begins with: what its predecessor spent is not known.
-const AT_START: f64 = 1.0;
+const CALLS_PART: f64 = 0.2;
+/// The part of the bucket that a guard begins with: what its predecessor spent is not known, and guards
+/// that all start anew must not have the slack twice.
+const AT_START: f64 = 0.4;
 
 /// What the fleet may spend on each service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,8 +34,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Allowance {
     terms: Terms,
-    /// How many guards share the slack; at least 1.
-    guards: usize,
+    /// How many guards share the slack; `None` until that is known.
+    guards: Option<NonZeroUsize>,
     /// In repeats; at most the bucket's size. Below zero after calls of repeated work, which are not held
     /// back.
     tokens: f64,
@@ -41,12 +44,18 @@
 impl Allowance {
     /// The allowance of a guard that has just started.
     pub fn new(terms: Terms) -> Self {
-        Self { terms, guards: 1, tokens: AT_START }
+        Self { terms, guards: None, tokens: 0.0 }
     }
 
     /// Takes in how many guards share the slack.
     pub fn share_with(&mut self, guards: usize) {
-        self.guards = guards.max(1);
+        let before = self.guards.replace(NonZeroUsize::new(guards).unwrap_or(NonZeroUsize::MIN));
+        match before {
+            None => self.tokens += (self.size() * AT_START).max(1.0),
+            // A guard that has just started finds the others one by one; each has its part.
+            Some(it) if it.get() < guards && self.tokens > 0.0 => self.tokens *= it.get() as f64 / guards as f64,
+            Some(_) => (),
+        }
         self.tokens = self.tokens.min(self.size());
     }
 
@@ -74,6 +83,6 @@
     /// What the bucket holds: this guard's part of the slack, or one repeat where that is less, since a
     /// smaller bucket would allow none ever.
     fn size(&self) -> f64 {
-        (self.terms.slack * SLACK_USED / self.guards as f64).max(1.0)
+        (self.terms.slack * SLACK_USED / self.guards.map_or(1, NonZeroUsize::get) as f64).max(1.0)
     }
 }
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -23,6 +23,9 @@
 /// requests a second a service and three suspects this tries each about once a second.
 const TRIAL_CHANCE: f64 = 0.4;
 
+/// The chance that other work asks a suspect, which takes it only if nothing else was a trial for long.
+const RISK_CHANCE: f64 = 0.1;
+
 /// An endpoint that may be asked.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -50,16 +53,17 @@
 /// Orders the candidates for one piece of work.
 ///
 /// Of the suspects, work that [may be a trial](super::suspicion::may_be_trial) asks one only: most of them
-/// rest, and each refusal costs a round trip.
+/// rest, and each refusal costs a round trip. Other work seldom does, for suspects that nobody tries.
 pub fn order(candidates: &[Candidate], trial: bool, rng: &mut impl Rng) -> Order {
     let accepts = accepted(candidates);
     let mut ask = sorted(candidates, |it| it.standing <= accepts, rng);
-    if trial {
+    let first_chance = if trial { TRIAL_CHANCE } else { RISK_CHANCE };
+    let first = rng.random_bool(first_chance);
+    if trial || first {
         let others = sorted(candidates, |it| it.standing > accepts && !it.path_rests, rng);
         if !others.is_empty() {
             let one = others[rng.random_range(0..others.len())];
-            let at = if rng.random_bool(TRIAL_CHANCE) { 0 } else { ask.len() };
-            ask.insert(at, one);
+            ask.insert(if first { 0 } else { ask.len() }, one);
         }
     }
     Order { ask, accepts }
--- a/src/decide/suspicion.rs
+++ b/src/decide/suspicion.rs
@@ -25,7 +25,15 @@
 /// that were under way together.
 const FIRST_REST: Duration = Duration::from_millis(300);
 /// The longest pause between trials: spells last several seconds, and each trial costs a retry.
-const LONGEST_REST: Duration = Duration::from_millis(1_200);
+const LONGEST_REST: Duration = Duration::from_millis(900);
+/// A trial that has not failed for this long no longer keeps the next one back: the long work of a class
+/// would else be the only trial for seconds, and gray endpoints fail within milliseconds.
+const TRIAL_SPACING: Duration = Duration::from_millis(500);
+/// Trials at once before any has ended well: an endpoint that hangs keeps this much work at most.
+const MOST_TRIALS: u32 = 4;
+/// After this without a trial any work may be one: where none is idempotent, nobody else would find out that
+/// the endpoint is sound again.
+const UNTESTED: Duration = Duration::from_millis(1_500);
 /// A failure in less than this part of the usual time is a fast one.
 const FAST_PART: u32 = 8;
 /// With no usual time known, a failure is fast below this.
@@ -78,9 +86,10 @@
 /// Whether a suspect may be tried with work that was sent to `attempts` of at most `max_attempts` endpoints.
 ///
 /// Trials fail more often than not, so only work that is sure to be sent to another endpoint afterwards
-/// bears them: it must be idempotent, with an attempt and an allowance left for the repeat.
-pub fn may_be_trial(idempotent: bool, attempts: u32, max_attempts: u32, allowance_used: bool) -> bool {
-    idempotent && attempts + 2 <= max_attempts && !allowance_used
+/// bears them: it must be idempotent, with an attempt left for the repeat. (With the allowance used up the
+/// repeat may be refused; trials go on all the same, or no suspect would return while room is short.)
+pub fn may_be_trial(idempotent: bool, attempts: u32, max_attempts: u32) -> bool {
+    idempotent && attempts + 2 <= max_attempts
 }
 
 /// The recent record of one endpoint.
@@ -97,32 +106,40 @@
 /// The time until an endpoint is trusted again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Probation {
+    /// When it began. Work that was begun before says nothing: an endpoint that turns gray still ends well what
+    /// it had begun well.
+    since: Instant,
     /// Good answers since the last bad one; below `CLEARING`.
     good: u32,
     /// Before this it gets no trial.
     rests_until: Instant,
     /// The length of the current pause.
     rest: Duration,
+    /// When the last trial began, or this did.
+    tried: Instant,
 }
 
 impl Probation {
     fn new(now: Instant) -> Self {
-        Self { good: 0, rests_until: now + FIRST_REST, rest: FIRST_REST }
+        Self { since: now, good: 0, rests_until: now + FIRST_REST, rest: FIRST_REST, tried: now }
     }
 
-    /// After a good answer; `None` when it is over.
-    fn passed(self) -> Option<Self> {
+    /// After a good answer to work begun at `begun`; `None` when it is over.
+    fn passed(self, begun: Instant) -> Option<Self> {
+        if begun < self.since {
+            return Some(self);
+        }
         let good = self.good + 1;
         (good < CLEARING).then_some(Self { good, ..self })
     }
 
-    /// After a bad answer. Answers that were under way when it began say nothing new.
-    fn failed(self, now: Instant) -> Self {
-        if now < self.rests_until {
-            return Self { good: 0, ..self };
+    /// After a bad answer to work begun at `begun`.
+    fn failed(self, begun: Instant, now: Instant) -> Self {
+        if begun < self.since {
+            return self;
         }
         let rest = (self.rest * 3 / 2).min(LONGEST_REST);
-        Self { good: 0, rests_until: now + rest, rest }
+        Self { good: 0, rests_until: now + rest, rest, ..self }
     }
 }
 
@@ -136,27 +153,27 @@
         }
     }
 
-    /// Takes a sample in; returns whether the standing changed.
-    pub fn sample(&mut self, sample: Sample, now: Instant) -> bool {
+    /// Takes in what an answer says to work begun at `begun`; returns whether the standing changed.
+    pub fn sample(&mut self, sample: Sample, begun: Instant, now: Instant) -> bool {
         let before = self.standing();
         match sample {
             Sample::Good => {
                 self.doubts = 0;
-                self.failing = self.failing.and_then(Probation::passed);
-                self.declining = self.declining.and_then(Probation::passed);
+                self.failing = self.failing.and_then(|it| it.passed(begun));
+                self.declining = self.declining.and_then(|it| it.passed(begun));
             }
             Sample::Declined => {
-                self.declining = Some(self.declining.map_or(Probation::new(now), |it| it.failed(now)));
+                self.declining = Some(self.declining.map_or(Probation::new(now), |it| it.failed(begun, now)));
             }
-            Sample::Doubtful => self.failed(self.doubts + 1, now),
-            Sample::Bad => self.failed(DOUBTS, now),
+            Sample::Doubtful => self.failed(self.doubts + 1, begun, now),
+            Sample::Bad => self.failed(DOUBTS, begun, now),
         }
         before != self.standing()
     }
 
-    fn failed(&mut self, doubts: u32, now: Instant) {
+    fn failed(&mut self, doubts: u32, begun: Instant, now: Instant) {
         if let Some(it) = self.failing {
-            self.failing = Some(it.failed(now));
+            self.failing = Some(it.failed(begun, now));
         } else if doubts >= DOUBTS {
             self.doubts = 0;
             self.failing = Some(Probation::new(now));
@@ -169,9 +186,18 @@
     /// during the probation and not ended.
     ///
     /// Beyond that, an endpoint takes work that [may be a trial](may_be_trial), one piece at a time, one
-    /// more for each good answer.
+    /// more for each good answer and for each spell without an answer, and any work when no trial came.
     pub fn admits(&self, accepts: Standing, trial: bool, trials: u32, now: Instant) -> bool {
         let Some(it) = self.failing.or(self.declining).filter(|_| self.standing() > accepts) else { return true };
-        trial && now >= it.rests_until && trials <= it.good
+        let untried = now.saturating_duration_since(it.tried);
+        let room = trials <= it.good || (trials < MOST_TRIALS && untried >= TRIAL_SPACING);
+        room && now >= it.rests_until && (trial || untried >= UNTESTED)
+    }
+
+    /// Takes in that work was begun; while the endpoint is not clean that is a trial.
+    pub fn begun(&mut self, now: Instant) {
+        for it in [&mut self.failing, &mut self.declining].into_iter().flatten() {
+            it.tried = now;
+        }
     }
 }
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -56,9 +56,21 @@
     /// A request could not be used.
     Rejected { request: &'a str, status: u16, why: &'a str },
     /// A place at an endpoint was asked for in vain.
-    NoPlace { request: &'a str, guard: &'a str, why: Refusal, told_ms: u128 },
-    /// A place was taken.
-    Placed { request: &'a str, guard: &'a str, endpoint: &'a str, attempt: u32, waited_ms: u128, asked: usize },
+    NoPlace { request: &'a str, guard: &'a str, why: Refusal, waited_ms: u128 },
+    /// A place was taken; with what the ingress knew of the endpoint, and for how long it had known that.
+    Placed {
+        request: &'a str,
+        guard: &'a str,
+        endpoint: &'a str,
+        attempt: u32,
+        waited_ms: u128,
+        asked: u32,
+        of: usize,
+        load: u32,
+        slots: u32,
+        standing: Standing,
+        told_ms_ago: u128,
+    },
     /// An attempt at an endpoint ended otherwise than well.
     Failed { request: &'a str, guard: &'a str, attempt: u32, why: Failure, took_ms: u128 },
     /// An attempt's guard fell silent; it, or another in its place, was asked what became of it.
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -70,7 +70,7 @@
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let State { endpoint, queue, senders, ledger, allowance, .. } = &mut *state;
-        let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
+        let serving = endpoint.as_mut().filter(|it| it.announced.phase == EndpointPhase::Serving);
         let Some(endpoint) = serving else {
             queue.drain();
             for (_, tx) in senders.drain(..) {
@@ -98,6 +98,7 @@
                 repeat: waiter.repeat,
                 trial: endpoint.record.standing() != Standing::Clean,
             };
+            endpoint.record.begun(now);
             let grant = ledger.offer(endpoint.announced.id.clone(), purpose);
             let id = grant.id;
             if tx.send(Ok(grant)).is_err() {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -1,6 +1,9 @@
 //! Runs at the endpoint: each place is used once, and its end is remembered for a while.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use tokio::{task::spawn_local, time::timeout};
 
@@ -77,19 +80,20 @@
         let end = match timeout(overdue, &mut work).await {
             Ok(it) => it,
             Err(_) => {
-                self.sample(&grant.endpoint, Sample::Doubtful, &request, "overdue");
+                self.sample(&grant.endpoint, Sample::Doubtful, start, &request, "overdue");
                 work.await
             }
         };
-        self.learn(&grant, &end, &request, clock::now().saturating_duration_since(start), left);
+        self.learn(&grant, &end, &request, start, left);
         self.end(grant.id, end.clone());
         end
     }
 
     /// Takes in what the end of a run says of the endpoint.
-    fn learn(self: &Rc<Self>, grant: &Grant, end: &RunEnd, request: &str, took: Duration, left: Duration) {
+    fn learn(self: &Rc<Self>, grant: &Grant, end: &RunEnd, request: &str, begun: Instant, left: Duration) {
         /// An endpoint that ends this close to its deadline ran out of time.
         const CLOSE: Duration = Duration::from_millis(100);
+        let took = clock::now().saturating_duration_since(begun);
         let state = self.state.borrow();
         let Some(given) = state.ledger.given(grant.id) else { return };
         let route = given.purpose.route.clone();
@@ -116,13 +120,13 @@
                 return;
             }
         };
-        self.sample(&grant.endpoint, sample, request, why);
+        self.sample(&grant.endpoint, sample, begun, request, why);
     }
 
-    fn sample(self: &Rc<Self>, id: &str, sample: Sample, request: &str, why: &str) {
+    fn sample(self: &Rc<Self>, id: &str, sample: Sample, begun: Instant, request: &str, why: &str) {
         let mut state = self.state.borrow_mut();
         let Some(endpoint) = state.endpoint.as_mut().filter(|it| *it.announced.id == *id) else { return };
-        let turned = endpoint.record.sample(sample, clock::now());
+        let turned = endpoint.record.sample(sample, begun, clock::now());
         let standing = endpoint.record.standing();
         drop(state);
         if turned {
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -34,6 +34,14 @@
 /// The part of the goal that a class of unknown length is taken to work.
 const UNKNOWN_WORK: u32 = 3;
 
+/// The endpoints that may do a piece of work, and the order in which their guards are asked.
+struct Choice {
+    guards: Vec<Guarded>,
+    /// One for each guard.
+    candidates: Vec<Candidate>,
+    order: Order,
+}
+
 impl Proxy {
     /// Waits for a free place at one of the service's endpoints.
     pub(super) async fn place(self: &Rc<Self>, job: &Job, tried: &[Box<str>]) -> Result<Placed, NoPlace> {
@@ -48,12 +56,12 @@
         const LOOKS: u32 = 3;
         let patience = self.patience(job);
         for _ in 0..LOOKS {
-            let (guards, order) = self.candidates(job, tried);
-            if guards.is_empty() {
+            let choice = self.choice(job, tried);
+            if choice.guards.is_empty() {
                 return Err(NoPlace::NoEndpoint);
             }
             let left = patience.saturating_duration_since(clock::now());
-            match timeout(left, self.ask(job, &guards, &order, patience, start)).await {
+            match timeout(left, self.ask(job, &choice, patience, start)).await {
                 Ok(Some(it)) => return Ok(it),
                 Ok(None) => (),
                 Err(_) => return Err(NoPlace::Full),
@@ -72,7 +80,8 @@
         if job.is_call() { by_deadline } else { by_goal.min(by_deadline) }
     }
 
-    fn candidates(&self, job: &Job, tried: &[Box<str>]) -> (Vec<Guarded>, Order) {
+    /// The endpoints that may do the work, as they are known now.
+    fn choice(&self, job: &Job, tried: &[Box<str>]) -> Choice {
         let now = clock::now();
         let settings = self.settings.borrow();
         let view = self.view.borrow();
@@ -104,27 +113,19 @@
                 slots: it.slots,
             });
         }
-        let order = order(&candidates, self.may_be_trial(job), &mut rand::rng());
-        (guards, order)
+        let order = order(&candidates, Self::may_be_trial(job), &mut rand::rng());
+        Choice { guards, candidates, order }
     }
 
-    fn may_be_trial(&self, job: &Job) -> bool {
-        let used = self.allowance_used(&job.service);
-        suspicion::may_be_trial(job.idempotent(), job.attempts.get(), job.route().max_attempts, used)
+    fn may_be_trial(job: &Job) -> bool {
+        suspicion::may_be_trial(job.idempotent(), job.attempts.get(), job.route().max_attempts)
     }
 
     /// Asks guards in order until one gives a place; `None` if all refused.
-    async fn ask(
-        self: &Rc<Self>,
-        job: &Job,
-        guards: &[Guarded],
-        order: &Order,
-        patience: Instant,
-        start: Instant,
-    ) -> Option<Placed> {
-        let mut rest = order.ask.iter();
+    async fn ask(self: &Rc<Self>, job: &Job, choice: &Choice, patience: Instant, start: Instant) -> Option<Placed> {
+        let mut rest = choice.order.ask.iter();
         let mut wishes: FuturesUnordered<LocalBoxFuture<'_, (usize, Result<Grant, Refusal>)>> = FuturesUnordered::new();
-        let mut asked = 0;
+        let asked_before = job.asked.get();
         let begin = tokio::time::Instant::now();
         loop {
             let more = begin.elapsed().as_millis() / ONE_MORE_WISH.as_millis();
@@ -132,9 +133,8 @@
             if wishes.len() < held
                 && let Some(at) = rest.next()
             {
-                asked += 1;
                 job.asked.set(job.asked.get() + 1);
-                wishes.push(Box::pin(self.wish(job, &guards[*at], *at, order.accepts, patience)));
+                wishes.push(Box::pin(self.wish(job, &choice.guards[*at], *at, choice.order.accepts, patience)));
             }
             let pause = if wishes.len() < held { ASK_ANOTHER_AFTER } else { ONE_MORE_WISH };
             let another = tokio::time::Instant::now() + pause;
@@ -142,22 +142,17 @@
             tokio::select! {
                 done = wishes.next() => {
                     let (at, result) = done?;
-                    let guard = &guards[at];
-                    let waited = clock::now().saturating_duration_since(start).as_millis();
+                    let guard = &choice.guards[at];
+                    let waited = clock::now().saturating_duration_since(start);
                     match result {
                         Ok(grant) => {
-                            self.events.emit(&Event::Placed {
-                                request: &job.request,
-                                guard: guard.name(self),
-                                endpoint: &grant.endpoint,
-                                attempt: job.attempts.get() + 1,
-                                waited_ms: waited,
-                                asked,
-                            });
+                            let asked = job.asked.get() - asked_before;
+                            self.tell_placed(job, choice, at, &grant, asked, waited);
                             return Some(Placed { guard: guard.clone(), grant });
                         }
                         Err(why) => {
-                            self.events.emit(&Event::NoPlace { request: &job.request, guard: guard.name(self), why, told_ms: waited });
+                            let (guard, waited_ms) = (guard.name(self), waited.as_millis());
+                            self.events.emit(&Event::NoPlace { request: &job.request, guard, why, waited_ms });
                             if wishes.is_empty() && rest.len() == 0 {
                                 return None;
                             }
@@ -169,6 +164,28 @@
         }
     }
 
+    /// Writes down a place with what was known when its guard was asked.
+    fn tell_placed(&self, job: &Job, choice: &Choice, at: usize, grant: &Grant, asked: u32, waited: Duration) {
+        let (guard, candidate) = (&choice.guards[at], &choice.candidates[at]);
+        let known_for = match guard {
+            Guarded::Here => Duration::ZERO,
+            Guarded::There(_, link) => link.told_ago(clock::now()),
+        };
+        self.events.emit(&Event::Placed {
+            request: &job.request,
+            guard: guard.name(self),
+            endpoint: &grant.endpoint,
+            attempt: job.attempts.get() + 1,
+            waited_ms: waited.as_millis(),
+            asked,
+            of: choice.guards.len(),
+            load: candidate.load,
+            slots: candidate.slots,
+            standing: candidate.standing,
+            told_ms_ago: known_for.as_millis(),
+        });
+    }
+
     async fn wish(
         self: &Rc<Self>,
         job: &Job,
@@ -183,7 +200,7 @@
             service: job.service.clone(),
             route: job.route().name.clone(),
             idempotent: job.idempotent(),
-            trial: self.may_be_trial(job),
+            trial: Self::may_be_trial(job),
             arrival: job.next_arrival(),
             call: job.is_call(),
             rank: job.route().rank,
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -213,6 +213,11 @@
         self.asked.set(0);
     }
 
+    /// How long ago the peer told its load.
+    pub(super) fn told_ago(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.told.get().1)
+    }
+
     /// Counts a place that is asked for.
     pub(super) fn asking(&self) {
         self.asked.set(self.asked.get() + 1);
