A head that comes too slowly is answered 408

Weighed: a shorter limit there (would close idle connections that callers reuse). Change: a connection of a caller watches its bytes; from the first of a head to its end the operator's limit counts, then 408 goes out and the connection ends. Nothing of the request was passed on, so 408 is true.

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 pub mod events;
 pub mod guard;
+mod head;
 mod headers;
 mod ingress;
 mod links;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -17,7 +17,7 @@
     time::sleep,
 };
 
-use crate::proxy::{net, net::Local, routes::Limits};
+use crate::proxy::{head::TimedHeads, net, net::Local, routes::Limits};
 
 /// An answer with its whole body.
 pub(super) type Answer = Response<Full<Bytes>>;
@@ -61,9 +61,15 @@
     accept(listener, move |stream, from| {
         let handle = Rc::clone(&handle);
         let limits = limits();
+        let (stream, heads) = TimedHeads::new(stream, limits.head_time);
         let service = service_fn(move |req| {
+            let serving = heads.serving();
             let answer = handle(req);
-            async move { Ok::<_, Infallible>(answer.await) }
+            async move {
+                let answer = answer.await;
+                drop(serving);
+                Ok::<_, Infallible>(answer)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
