After a change the watch at the store is taken up again 0.4 s later

Cause: each change wakes every proxy's watch, and each watch has its price; a storm of 40 versions in a second cost 120 calls of three proxies. Change: a pause between a change, which is in force at once, and the next watch. Versions in between are skipped, and 0.4 s is well within the two seconds of the bound. Test: a_storm_of_configurations_costs_few_calls_and_ends_with_the_last, 120 calls before, 24 at most now.

--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -17,6 +17,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// After a change the watch is taken up again this much later: changes come in quick series at times, each
+/// watch has its price, and a change must be in force within two seconds.
+const SETTLE: Duration = Duration::from_millis(400);
+
 /// Pauses that grow, with jitter, while the store fails.
 struct Backoff<'a> {
     proxy: &'a Proxy,
@@ -64,7 +68,11 @@
                 match self.store.watch_config(revision, WATCH).await {
                     Ok(WatchEnd::Went(object)) => {
                         backoff.answered();
+                        let changed = object.config.is_some();
                         revision = self.take_config(object);
+                        if changed {
+                            sleep(SETTLE).await;
+                        }
                     }
                     Ok(WatchEnd::HistoryGone) => break,
                     Err(error) => backoff.failed(&error).await,
