A stopping proxy's endpoint goes on with work that is sure to end within the grace

Ruled out: the endpoint's own leaving (it is acknowledged and binds as before). Change: until 45% of the grace, like the ingress, a stopping guard gives places to work whose usual time fits three times into 0.8 of the grace; an endpoint that has not announced itself for two beats is not used. The pump of places is in three functions. Test: a_stopping_guard_goes_on_with_what_is_sure_to_end (nothing arrived before), beside the tests of stops.

--- a/src/proxy/guard/announced.rs
+++ b/src/proxy/guard/announced.rs
@@ -1,6 +1,6 @@
 //! Which endpoint is beside this proxy, and whether it takes work.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 
 use super::{Announced, Endpoint, EndpointPhase, Guard, Heard, State};
 use crate::{
@@ -137,6 +137,18 @@
         }
     }
 
+    /// Gives places only to work that is likely to end before `ends`; at once none if the endpoint may be gone.
+    pub fn stop_soon(self: &Rc<Self>, ends: Instant) {
+        let mut state = self.state.borrow_mut();
+        state.ends = Some(ends);
+        let heard = state.endpoint.as_ref().map(|it| it.heard);
+        drop(state);
+        if heard.is_none_or(|it| clock::now().saturating_duration_since(it) > self.announce_every * 2) {
+            self.stop();
+        }
+        self.pump();
+    }
+
     /// Stops giving places: all that wait are sent elsewhere.
     pub fn stop(self: &Rc<Self>) {
         let id = self.state.borrow().endpoint.as_ref().map(|it| it.announced.id.clone());
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -122,6 +122,8 @@
     allowance: Allowance,
     /// Which services the work of a class called here; sorted.
     calls: Vec<(RouteName, ServiceName)>,
+    /// This proxy stops: the endpoint's work must have ended by then.
+    ends: Option<Instant>,
     /// The last number given to a waiter.
     last_waiter: WaiterId,
 }
@@ -154,6 +156,7 @@
                 pace: Pace::default(),
                 allowance: Allowance::new(terms),
                 calls: Vec::new(),
+                ends: None,
                 last_waiter: 0,
             }),
             run_ended: Notify::new(),
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -1,12 +1,16 @@
 //! Places at the endpoint: who waits for one, who gets one, and when it is taken back.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
 use super::{EndpointPhase, Guard, State, Surroundings, count, ledger::Purpose};
 use crate::{
     decide::{
+        pace::Pace,
         suspicion::Standing,
         wait_queue::{Waiter, WaiterId},
     },
@@ -31,7 +35,8 @@
             let mut state = self.state.borrow_mut();
             let Some(endpoint) = &state.endpoint else { return Err(Refusal::Elsewhere) };
             let announced = &endpoint.announced;
-            if announced.service != req.service || announced.phase == EndpointPhase::Leaving {
+            let leaves = announced.phase == EndpointPhase::Leaving || !fits(state.ends, &state.pace, &req.route, now);
+            if announced.service != req.service || leaves {
                 return Err(Refusal::Elsewhere);
             }
             if !endpoint.record.admits(req.accepts, req.trial, count(state.ledger.trials()), now) {
@@ -65,31 +70,50 @@
         (&mut wish.rx).await.unwrap_or(Err(Refusal::Elsewhere))
     }
 
-    /// Gives free places to those that wait, in order.
+    /// Gives free places to those that wait, in order, and turns those away that can't begin here.
     pub(super) fn pump(self: &Rc<Self>) {
         let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let State { endpoint, queue, senders, ledger, allowance, .. } = &mut *state;
-        let serving = endpoint.as_mut().filter(|it| it.announced.phase == EndpointPhase::Serving);
-        let Some(endpoint) = serving else {
-            queue.drain();
-            for (_, tx) in senders.drain(..) {
-                // An ingress that is gone needs no answer.
-                _ = tx.send(Err(Refusal::Elsewhere));
-            }
-            return;
-        };
-        let limit = if now < endpoint.cold_until {
-            endpoint.announced.slots.div_ceil(COLD_PART)
-        } else {
-            endpoint.announced.slots
-        };
         let mut offered = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            while let Some(id) = state.offer_next(now) {
+                offered.push(id);
+            }
+            state.turn_away(now);
+        }
+        for id in offered {
+            self.expire(id);
+        }
+    }
+
+    /// Takes a place back that is not used in time.
+    fn expire(self: &Rc<Self>, id: GrantId) {
+        let guard = Rc::clone(self);
+        spawn_local(async move {
+            sleep(GRANT_TTL).await;
+            let unused = guard.state.borrow().ledger.offered().contains(&id);
+            if unused {
+                guard.end(id, RunEnd::NotRun(NotRun::NoGrant));
+            }
+        });
+    }
+}
+
+impl State {
+    /// Offers a free place to the first that may have one.
+    fn offer_next(&mut self, now: Instant) -> Option<GrantId> {
+        let Self { endpoint, queue, senders, ledger, allowance, pace, ends, .. } = self;
+        let endpoint = endpoint.as_mut().filter(|it| it.announced.phase == EndpointPhase::Serving)?;
+        let cold = now < endpoint.cold_until;
+        let limit = if cold { endpoint.announced.slots.div_ceil(COLD_PART) } else { endpoint.announced.slots };
         while count(ledger.len()) < limit {
             let trials = count(ledger.trials());
-            let allowed = |it: &Waiter| allowance.allows(it.call) || !it.needs_allowance;
-            let admits = |it: &Waiter| endpoint.record.admits(it.accepts, it.trial, trials, now) && allowed(it);
-            let Some(waiter) = queue.next(now, admits) else { break };
+            let admits = |it: &Waiter| {
+                endpoint.record.admits(it.accepts, it.trial, trials, now)
+                    && (allowance.allows(it.call) || !it.needs_allowance)
+                    && fits(*ends, pace, &it.route, now)
+            };
+            let waiter = queue.next(now, admits)?;
             let Some(at) = senders.iter().position(|it| it.0 == waiter.id) else { continue };
             let (_, tx) = senders.swap_remove(at);
             let purpose = Purpose {
@@ -98,43 +122,46 @@
                 repeat: waiter.repeat,
                 trial: endpoint.record.standing() != Standing::Clean,
             };
-            endpoint.record.begun(now);
             let grant = ledger.offer(endpoint.announced.id.clone(), purpose);
             let id = grant.id;
             if tx.send(Ok(grant)).is_err() {
                 ledger.end(id, RunEnd::NotRun(NotRun::NoGrant), now);
                 continue;
             }
+            endpoint.record.begun(now);
             allowance.count(waiter.repeat);
-            offered.push(id);
+            return Some(id);
         }
-        // Work that can't begin here is better off elsewhere.
-        let suspect = |it: &Waiter| !endpoint.record.admits(it.accepts, it.trial, 0, now);
-        let refused = |it: &Waiter| suspect(it) || (it.needs_allowance && !allowance.allows(it.call));
-        while let Some(waiter) = queue.next(now, refused) {
-            let why = if suspect(&waiter) { Refusal::Suspect } else { Refusal::NoAllowance };
+        None
+    }
+
+    /// Refuses what waits and can't begin here: it is better off elsewhere.
+    fn turn_away(&mut self, now: Instant) {
+        let Self { endpoint, queue, senders, allowance, pace, ends, .. } = self;
+        let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
+        let refusal = |it: &Waiter| match serving {
+            None => Some(Refusal::Elsewhere),
+            Some(_) if !fits(*ends, pace, &it.route, now) => Some(Refusal::Elsewhere),
+            Some(endpoint) if !endpoint.record.admits(it.accepts, it.trial, 0, now) => Some(Refusal::Suspect),
+            Some(_) if it.needs_allowance && !allowance.allows(it.call) => Some(Refusal::NoAllowance),
+            Some(_) => None,
+        };
+        while let Some(waiter) = queue.next(now, |it| refusal(it).is_some()) {
+            let why = refusal(&waiter).expect("it was taken out for that");
             if let Some(at) = senders.iter().position(|it| it.0 == waiter.id) {
                 // An ingress that is gone needs no answer.
                 _ = senders.swap_remove(at).1.send(Err(why));
             }
         }
-        drop(state);
-        for id in offered {
-            self.expire(id);
-        }
     }
+}
 
-    /// Takes a place back that is not used in time.
-    fn expire(self: &Rc<Self>, id: GrantId) {
-        let guard = Rc::clone(self);
-        spawn_local(async move {
-            sleep(GRANT_TTL).await;
-            let unused = guard.state.borrow().ledger.offered().contains(&id);
-            if unused {
-                guard.end(id, RunEnd::NotRun(NotRun::NoGrant));
-            }
-        });
-    }
+/// Whether work of `route` that begins now is likely to end by `ends`, when this proxy stops.
+fn fits(ends: Option<Instant>, pace: &Pace, route: &str, now: Instant) -> bool {
+    /// Few pieces of work take longer than this many times the usual.
+    const TIMES_USUAL: u32 = 3;
+    let Some(ends) = ends else { return true };
+    pace.mean(route).is_some_and(|it| now + it * TIMES_USUAL <= ends)
 }
 
 /// A wish for a place, taken back when its future is dropped.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -170,7 +170,7 @@
             peers: settings.advertised,
             data_centre: settings.data_centre.clone(),
             version: self.version(),
-            endpoint: if self.is_stopping() { None } else { self.guard.row() },
+            endpoint: self.guard.row(),
         }
     }
 
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -25,6 +25,9 @@
 /// The part of the grace in which new requests are taken: the platform needs two seconds of six to
 /// send callers elsewhere, and what comes later could not be finished.
 const TAKES_PART: f64 = 0.45;
+/// The part of the grace within which the endpoint must have ended its work. It lives on beside the next run of
+/// this proxy, so until then it takes what is sure to end in time.
+const ENDS_PART: f64 = 0.8;
 /// How long the last answers have to leave.
 const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
@@ -70,13 +73,17 @@
     async fn finish(self: &Rc<Self>) {
         let start = clock::now();
         let grace = self.settings.borrow().grace;
-        self.takes_until.set(Some(start + grace.mul_f64(TAKES_PART)));
+        let takes = grace.mul_f64(TAKES_PART);
+        self.takes_until.set(Some(start + takes));
         self.set_end("SIGTERM");
-        self.guard.stop();
-        self.guard.changed.notify_one();
         let removal = self.store.remove_presence(&self.name);
+        let hand_over = async {
+            self.guard.stop_soon(start + grace.mul_f64(ENDS_PART));
+            sleep(takes).await;
+            self.guard.stop();
+        };
         let finished = self.finished(start);
-        let (removed, ()) = tokio::join!(removal, finished);
+        let (removed, (), ()) = tokio::join!(removal, hand_over, finished);
         if let Err(error) = removed {
             log::debug!("this proxy's object stays in the store: {error}");
         }
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -440,6 +440,26 @@
     assert!(!site.proxies[0].is_ready());
 }
 
+#[test]
+fn a_stopping_guard_goes_on_with_what_is_sure_to_end() {
+    let mut site = site();
+    for at in 0..12 {
+        assert_eq!(ask(&site, "GET /read/x", &format!("r-first-{at}")).status(), 200);
+    }
+    let at_stopping = |site: &Site| site.proxies[0].endpoint.arrivals().len();
+
+    site.proxies[0].signal(Signal::TERM);
+    assert!(eventually(|| !site.proxies[0].is_ready()));
+    let before = at_stopping(&site);
+    let ends: Vec<u16> = (0..16).map(|at| ask(&site, "GET /read/x", &format!("r-{at}")).status()).collect();
+    let taken = at_stopping(&site) - before;
+    assert!(site.proxies[0].ends(), "the process ends by itself");
+
+    assert!(ends.iter().all(|it| *it == 200), "{ends:?}");
+    assert!(taken > 0, "its endpoint lives on and has room");
+    assert!(site.proxies[0].endpoint.arrivals().iter().all(|it| !it.cut_off));
+}
+
 #[test]
 fn a_stopping_ingress_answers_what_it_holds() {
     let site = site();
