A trial that works counts before its end; unrepeatable work tries a suspect only where clean endpoints have no room

Ruled out: last resort (clean endpoints were there). Change: work on a trial that outlasts fast failures counts as a good answer, if all failures so far were fast; a suspect is the fourth to be asked by work that must not repeat.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -24,7 +24,10 @@
 const TRIAL_CHANCE: f64 = 0.4;
 
 /// The chance that other work asks a suspect, which takes it only if nothing else was a trial for long.
-const RISK_CHANCE: f64 = 0.1;
+const RISK_CHANCE: f64 = 0.3;
+/// How many clean endpoints are asked before that: only where these have no room is it worth the risk to find out
+/// whether there is more.
+const BEFORE_RISK: usize = 3;
 
 /// An endpoint that may be asked.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -57,13 +60,16 @@
 pub fn order(candidates: &[Candidate], trial: bool, rng: &mut impl Rng) -> Order {
     let accepts = accepted(candidates);
     let mut ask = sorted(candidates, |it| it.standing <= accepts, rng);
-    let first_chance = if trial { TRIAL_CHANCE } else { RISK_CHANCE };
-    let first = rng.random_bool(first_chance);
-    if trial || first {
+    let place = match trial {
+        true if rng.random_bool(TRIAL_CHANCE) => Some(0),
+        true => Some(ask.len()),
+        false => rng.random_bool(RISK_CHANCE).then_some(ask.len().min(BEFORE_RISK)),
+    };
+    if let Some(place) = place {
         let others = sorted(candidates, |it| it.standing > accepts && !it.path_rests, rng);
         if !others.is_empty() {
             let one = others[rng.random_range(0..others.len())];
-            ask.insert(if first { 0 } else { ask.len() }, one);
+            ask.insert(place, one);
         }
     }
     Order { ask, accepts }
--- a/src/decide/suspicion.rs
+++ b/src/decide/suspicion.rs
@@ -68,6 +68,8 @@
 pub enum Sample {
     /// It did the work.
     Good,
+    /// It has worked for longer than fast failures take.
+    Working,
     /// It said that it did not begin the work, though it was below its slots.
     Declined,
     /// It failed as healthy endpoints do now and then: after working on it.
@@ -79,10 +81,15 @@
 impl Sample {
     /// What a failure after `took` says, with the usual time of such work.
     pub fn failure(took: Duration, usual: Option<Duration>) -> Self {
-        if took < usual.map_or(FAST, |it| it / FAST_PART) { Self::Bad } else { Self::Doubtful }
+        if took < fast(usual) { Self::Bad } else { Self::Doubtful }
     }
 }
 
+/// Failures that take less than this are fast ones, with the usual time of such work.
+pub fn fast(usual: Option<Duration>) -> Duration {
+    usual.map_or(FAST, |it| it / FAST_PART)
+}
+
 /// Whether a suspect may be tried with work that was sent to `attempts` of at most `max_attempts` endpoints.
 ///
 /// Trials fail more often than not, so only work that is sure to be sent to another endpoint afterwards
@@ -109,6 +116,9 @@
     /// When it began. Work that was begun before says nothing: an endpoint that turns gray still ends well what
     /// it had begun well.
     since: Instant,
+    /// All failures so far were fast ones or declines. Then work that goes on for longer is as good as done, and
+    /// the endpoint returns without waiting for its end.
+    fast: bool,
     /// Good answers since the last bad one; below `CLEARING`.
     good: u32,
     /// Before this it gets no trial.
@@ -120,8 +130,8 @@
 }
 
 impl Probation {
-    fn new(now: Instant) -> Self {
-        Self { since: now, good: 0, rests_until: now + FIRST_REST, rest: FIRST_REST, tried: now }
+    fn new(fast: bool, now: Instant) -> Self {
+        Self { since: now, fast, good: 0, rests_until: now + FIRST_REST, rest: FIRST_REST, tried: now }
     }
 
     /// After a good answer to work begun at `begun`; `None` when it is over.
@@ -133,13 +143,18 @@
         (good < CLEARING).then_some(Self { good, ..self })
     }
 
+    /// Work begun at `begun` goes on.
+    fn works(self, begun: Instant) -> Option<Self> {
+        if self.fast { self.passed(begun) } else { Some(self) }
+    }
+
     /// After a bad answer to work begun at `begun`.
-    fn failed(self, begun: Instant, now: Instant) -> Self {
+    fn failed(self, fast: bool, begun: Instant, now: Instant) -> Self {
         if begun < self.since {
             return self;
         }
         let rest = (self.rest * 3 / 2).min(LONGEST_REST);
-        Self { good: 0, rests_until: now + rest, rest, ..self }
+        Self { fast: self.fast && fast, good: 0, rests_until: now + rest, rest, ..self }
     }
 }
 
@@ -162,21 +177,26 @@
                 self.failing = self.failing.and_then(|it| it.passed(begun));
                 self.declining = self.declining.and_then(|it| it.passed(begun));
             }
+            Sample::Working => {
+                self.failing = self.failing.and_then(|it| it.works(begun));
+                self.declining = self.declining.and_then(|it| it.works(begun));
+            }
             Sample::Declined => {
-                self.declining = Some(self.declining.map_or(Probation::new(now), |it| it.failed(begun, now)));
+                let it = self.declining.map_or(Probation::new(true, now), |it| it.failed(true, begun, now));
+                self.declining = Some(it);
             }
-            Sample::Doubtful => self.failed(self.doubts + 1, begun, now),
-            Sample::Bad => self.failed(DOUBTS, begun, now),
+            Sample::Doubtful => self.failed(self.doubts + 1, false, begun, now),
+            Sample::Bad => self.failed(DOUBTS, true, begun, now),
         }
         before != self.standing()
     }
 
-    fn failed(&mut self, doubts: u32, begun: Instant, now: Instant) {
+    fn failed(&mut self, doubts: u32, fast: bool, begun: Instant, now: Instant) {
         if let Some(it) = self.failing {
-            self.failing = Some(it.failed(begun, now));
+            self.failing = Some(it.failed(fast, begun, now));
         } else if doubts >= DOUBTS {
             self.doubts = 0;
-            self.failing = Some(Probation::new(now));
+            self.failing = Some(Probation::new(fast, now));
         } else {
             self.doubts = doubts;
         }
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -12,7 +12,7 @@
     ledger::{Known, Running},
 };
 use crate::{
-    decide::suspicion::Sample,
+    decide::suspicion::{self, Sample},
     proxy::{
         clock,
         endpoint::{EndpointPool, EndpointRequest},
@@ -27,19 +27,37 @@
 const OVERDUE_FACTOR: u32 = 3;
 /// See `OVERDUE_FACTOR`: short work varies more.
 const OVERDUE_MORE: Duration = Duration::from_millis(300);
+/// Work on a trial says something after this, however short the class's work is: fast failures take a few
+/// milliseconds, and the VM may be slow.
+const WORKING_LEAST: Duration = Duration::from_millis(30);
 /// Work of a class never seen is overdue after this.
 const OVERDUE_UNKNOWN: Duration = Duration::from_secs(3);
 
+/// What can be said of an endpoint while it works, and after how long.
+struct Stages {
+    /// It did not fail fast; of interest in a trial.
+    working: Option<Duration>,
+    /// It takes much longer than usual.
+    overdue: Duration,
+}
+
+impl Stages {
+    fn in_order(&self) -> impl Iterator<Item = (Duration, Sample, &'static str)> {
+        let working = self.working.map(|it| (it, Sample::Working, "working"));
+        working.into_iter().chain([(self.overdue, Sample::Doubtful, "overdue")])
+    }
+}
+
 impl Guard {
     /// Uses a place: sends the work to the endpoint, once.
     ///
     /// Dropping the future stops idempotent work. Other work goes on, and its end is remembered.
     pub async fn run(self: &Rc<Self>, run: Run) -> RunEnd {
-        let Some((pool, idempotent, overdue)) = self.begin(&run) else {
+        let Some((pool, idempotent, stages)) = self.begin(&run) else {
             return RunEnd::NotRun(NotRun::NoGrant);
         };
         let grant = run.grant.clone();
-        let work = Rc::clone(self).execute(run, pool, overdue);
+        let work = Rc::clone(self).execute(run, pool, stages);
         if idempotent {
             let _cancel = Cancel { guard: self, grant: grant.id };
             return work.await;
@@ -48,17 +66,21 @@
         self.ended(&grant).await
     }
 
-    fn begin(&self, run: &Run) -> Option<(Rc<EndpointPool>, bool, Duration)> {
+    fn begin(&self, run: &Run) -> Option<(Rc<EndpointPool>, bool, Stages)> {
         let mut state = self.state.borrow_mut();
         let State { endpoint, ledger, pace, .. } = &mut *state;
         let endpoint = endpoint.as_ref().filter(|it| it.announced.id == run.grant.endpoint)?;
         let running = Running { request: run.request.clone(), repeat: run.repeat, call_failed: false };
         let purpose = &ledger.begin(&run.grant, running)?.purpose;
-        let overdue = pace.mean(&purpose.route).map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE);
-        Some((Rc::clone(&endpoint.pool), purpose.idempotent, overdue))
+        let usual = pace.mean(&purpose.route);
+        let stages = Stages {
+            working: purpose.trial.then(|| suspicion::fast(usual).max(WORKING_LEAST)),
+            overdue: usual.map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE),
+        };
+        Some((Rc::clone(&endpoint.pool), purpose.idempotent, stages))
     }
 
-    async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, overdue: Duration) -> RunEnd {
+    async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, stages: Stages) -> RunEnd {
         let Run { grant, request, method, target, content, left, repeat: _ } = run;
         let mut head = hyper::Request::new(());
         match (method.parse(), target.parse()) {
@@ -77,12 +99,15 @@
         let start = clock::now();
         let work = pool.run(req);
         tokio::pin!(work);
-        let end = match timeout(overdue, &mut work).await {
-            Ok(it) => it,
-            Err(_) => {
-                self.sample(&grant.endpoint, Sample::Doubtful, start, &request, "overdue");
-                work.await
+        let end = 'end: {
+            for (after, sample, why) in stages.in_order() {
+                let left = (start + after).saturating_duration_since(clock::now());
+                if let Ok(it) = timeout(left, &mut work).await {
+                    break 'end it;
+                }
+                self.sample(&grant.endpoint, sample, start, &request, why);
             }
+            work.await
         };
         self.learn(&grant, &end, &request, start, left);
         self.end(grant.id, end.clone());
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -39,6 +39,8 @@
     guards: Vec<Guarded>,
     /// One for each guard.
     candidates: Vec<Candidate>,
+    /// How old the load of each candidate was.
+    ages: Vec<Duration>,
     order: Order,
 }
 
@@ -89,9 +91,11 @@
         let fits = |it: &&EndpointRow| it.service == job.service && !tried.contains(&it.id);
         let mut guards = Vec::new();
         let mut candidates = Vec::new();
+        let mut ages = Vec::new();
         if let Some(it) = self.guard.row().as_ref().filter(fits) {
             let (running, waiting) = self.guard.load();
             guards.push(Guarded::Here);
+            ages.push(Duration::ZERO);
             candidates.push(Candidate {
                 near: true,
                 standing: it.standing,
@@ -104,7 +108,12 @@
             let Some(it) = row.endpoint.as_ref().filter(fits) else { continue };
             let Ok(at) = links.binary_search_by(|it| it.0.cmp(&row.name)) else { continue };
             let link = &links[at].1;
+            // A lost VM stays in the view for a while; asking it says nothing new.
+            if !link.is_connected() {
+                continue;
+            }
             guards.push(Guarded::There(row.name.clone(), Rc::clone(link)));
+            ages.push(link.told_ago(now));
             candidates.push(Candidate {
                 near: row.data_centre == settings.data_centre,
                 standing: it.standing,
@@ -114,7 +123,7 @@
             });
         }
         let order = order(&candidates, Self::may_be_trial(job), &mut rand::rng());
-        Choice { guards, candidates, order }
+        Choice { guards, candidates, ages, order }
     }
 
     fn may_be_trial(job: &Job) -> bool {
@@ -167,10 +176,6 @@
     /// Writes down a place with what was known when its guard was asked.
     fn tell_placed(&self, job: &Job, choice: &Choice, at: usize, grant: &Grant, asked: u32, waited: Duration) {
         let (guard, candidate) = (&choice.guards[at], &choice.candidates[at]);
-        let known_for = match guard {
-            Guarded::Here => Duration::ZERO,
-            Guarded::There(_, link) => link.told_ago(clock::now()),
-        };
         self.events.emit(&Event::Placed {
             request: &job.request,
             guard: guard.name(self),
@@ -182,7 +187,7 @@
             load: candidate.load,
             slots: candidate.slots,
             standing: candidate.standing,
-            told_ms_ago: known_for.as_millis(),
+            told_ms_ago: choice.ages[at].as_millis(),
         });
     }
 
