--- a/src/decide/suspicion.rs
+++ b/src/decide/suspicion.rs
@@ -81,12 +81,12 @@
 impl Sample {
     /// What a failure after `took` says, with the usual time of such work.
     pub fn failure(took: Duration, usual: Option<Duration>) -> Self {
-        if took < fast(usual) { Self::Bad } else { Self::Doubtful }
+        if took < fast_limit(usual) { Self::Bad } else { Self::Doubtful }
     }
 }
 
 /// Failures that take less than this are fast ones, with the usual time of such work.
-pub fn fast(usual: Option<Duration>) -> Duration {
+pub fn fast_limit(usual: Option<Duration>) -> Duration {
     usual.map_or(FAST, |it| it / FAST_PART)
 }
 
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -74,7 +74,7 @@
         let purpose = &ledger.begin(&run.grant, running)?.purpose;
         let usual = pace.mean(&purpose.route);
         let stages = Stages {
-            working: purpose.trial.then(|| suspicion::fast(usual).max(WORKING_LEAST)),
+            working: purpose.trial.then(|| suspicion::fast_limit(usual).max(WORKING_LEAST)),
             overdue: usual.map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE),
         };
         Some((Rc::clone(&endpoint.pool), purpose.idempotent, stages))
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -15,6 +15,9 @@
 
 use crate::platform::http::{self, Message};
 
+/// An announcement is acknowledged within this, or not at all.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(1);
+
 /// How an endpoint treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum EndpointMode {
@@ -164,6 +167,7 @@
             "state": state, "warmup_left_s": 0, "sequence": sequence,
         });
         let mut stream = TcpStream::connect(proxy)?;
+        stream.set_read_timeout(Some(ACKNOWLEDGED_WITHIN))?;
         let start = format!("POST /instances/{instance}/heartbeat HTTP/1.1");
         stream.write_all(&http::text(&start, &[("Host", "control")], body.to_string().as_bytes()))?;
         let answer = http::read(&mut BufReader::new(stream))?;
--- a/standins/src/platform/soak/promises/tests.rs
+++ b/standins/src/platform/soak/promises/tests.rs
@@ -52,6 +52,9 @@
     assert_eq!((verdict.requests, verdict.served), (1, 1));
 }
 
+/// How often a promise was broken.
+type Count = fn(&Verdict) -> usize;
+
 #[test]
 fn each_broken_promise_is_found() {
     let start = Instant::now();
@@ -59,7 +62,7 @@
     let forged = Arrival { caller: "ledger".to_owned(), ..arrival(start) };
     let once = || vec![arrival(start)];
     let left = Left { proxy: 0, from: start - 3 * SECOND, to: None };
-    let cases: [(Seen, fn(&Verdict) -> usize); 10] = [
+    let cases: [(Seen, Count); 10] = [
         (seen(told(200, true), vec![arrival(start), arrival(start)], start), |it| it.twice),
         (seen(told(503, false), once(), start), |it| it.refused_but_ran),
         (seen(told(200, false), once(), start), |it| it.mixed),
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -127,12 +127,12 @@
         ("{{heartbeat_s|json}}", "1.5"),
         ("{{bounds.grace_s|json}}", "6"),
         ("{{bounds.retry_budget_ratio|json}}", "0.2"),
-        ("{{bounds.budget_window_s|json}}", "10"),
         ("{{bounds.budget_slack|json}}", "60"),
     ] {
         assert!(text.contains(field), "{field}");
         text = text.replace(field, value);
     }
+    assert!(!text.contains("{{"), "every field is known here: {text}");
     text
 }
 
@@ -143,6 +143,16 @@
     assert_eq!((&*settings.name, &*settings.data_centre), ("sidecar-a-1", "a"));
     assert_eq!(settings.callers.to_string(), "10.1.0.8:8304");
     assert_eq!((settings.grace, settings.retry_slack), (Duration::from_secs(6), 60.0));
+    assert_eq!(settings.advertised, settings.peers);
+}
+
+#[test]
+fn a_proxy_may_be_reached_at_another_address() {
+    let text = filled_template() + "advertised = \"192.0.2.7:7101\"\n";
+
+    let settings = Settings::parse("boot.toml", &text).expect("good settings");
+
+    assert_eq!(settings.advertised.to_string(), "192.0.2.7:7101");
 }
 
 #[test]
