--- /dev/null
+++ b/tests/allowance.rs
@@ -0,0 +1,147 @@
+//! The allowance for repeats, replayed against load that moves from guard to guard.
+
+use jayreach::decide::allowance::{Allowance, Terms};
+use proptest::prelude::*;
+use rand::{SeedableRng as _, rngs::SmallRng};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// The rule over any window, for all guards of a service together. Load moves from one part of the
+    /// guards to another, as suspicion moves it, and repeats go elsewhere than their firsts; calm and
+    /// stormy times take turns, so that there is something to save up. Requests count in the window, the
+    /// one before it or the one half a window before, whichever has most.
+    #[test]
+    fn guards_together_keep_the_allowance(guards in 1usize..12, seed in any::<u64>(), pressure in 0.1f64..0.9) {
+        const WINDOW: u64 = 10_000;
+        const CALM: u64 = 1_000;
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut all: Vec<_> = (0..guards).map(|_| allowance(60.0, guards)).collect();
+        let mut arrivals: Vec<(u64, bool)> = Vec::new();
+        let (mut busy, mut busy_before) = (0..guards, 0..guards);
+        for tick in 0..6 * CALM {
+            if tick % CALM == 0 {
+                let first = rng.random_range(0..guards);
+                busy_before = std::mem::replace(&mut busy, first..rng.random_range(first..guards) + 1);
+            }
+            all[rng.random_range(busy.clone())].count(false);
+            arrivals.push((tick * 10, false));
+            let storm = tick % (2 * CALM) >= CALM;
+            if storm && rng.random_bool(pressure) {
+                let elsewhere = rng.random_bool(0.5);
+                let guard = &mut all[rng.random_range(if elsewhere { busy_before.clone() } else { busy.clone() })];
+                if guard.allows(true) {
+                    guard.count(true);
+                    arrivals.push((tick * 10, true));
+                }
+            }
+        }
+        let count = |begin: u64, repeat: bool| {
+            let inside = |it: &&(u64, bool)| (begin..begin + WINDOW).contains(&it.0) && it.1 == repeat;
+            arrivals.iter().filter(inside).count() as f64
+        };
+        for begin in (WINDOW..5 * WINDOW).step_by(250) {
+            let requests = [0, WINDOW / 2, WINDOW].map(|it| count(begin - it, false)).into_iter().fold(0.0, f64::max);
+            let repeats = count(begin, true);
+            prop_assert!(repeats <= requests * 0.2 + 60.0, "{} repeats for {} requests", repeats, requests);
+        }
+    }
+}
+
+/// An allowance that has saved up all it may.
+fn allowance(slack: f64, guards: usize) -> Allowance {
+    let mut allowance = Allowance::new(Terms { ratio: 0.2, slack });
+    allowance.share_with(guards);
+    for _ in 0..500 {
+        allowance.count(false);
+    }
+    allowance
+}
+
+#[test]
+fn a_repeat_that_did_not_arrive_is_given_back() {
+    let mut allowance = allowance(4.0, 1);
+    allowance.count(true);
+    allowance.count(true);
+
+    let used_up = !allowance.allows(true);
+    allowance.refund(true);
+
+    assert!(used_up, "six tenths of the slack are handed out");
+    assert!(!allowance.allows(false), "callers' repeats leave a part to those of calls");
+    assert!(allowance.allows(true));
+}
+
+#[test]
+fn first_arrivals_that_never_came_allow_no_repeats() {
+    let mut allowance = allowance(0.0, 1);
+    allowance.count(true);
+    for _ in 0..5 {
+        allowance.count(false);
+    }
+
+    let before = allowance.allows(true);
+    allowance.refund(false);
+
+    assert!(before, "one repeat for five requests");
+    assert!(!allowance.allows(true), "four requests allow none");
+}
+
+#[test]
+fn calls_of_repeated_work_are_paid_back_before_the_next_repeat() {
+    let mut allowance = allowance(4.0, 1);
+    for _ in 0..5 {
+        allowance.count(true);
+    }
+
+    for _ in 0..17 {
+        allowance.count(false);
+    }
+    let before = allowance.allows(true);
+    for _ in 0..2 {
+        allowance.count(false);
+    }
+
+    assert!(!before, "what the calls took beyond the bucket, and the next repeat, take eighteen requests");
+    assert!(allowance.allows(true));
+}
+
+/// How many repeats an allowance still allows to calls.
+fn left(mut allowance: Allowance) -> usize {
+    let spend = |_: &()| {
+        let allowed = allowance.allows(true);
+        allowance.count(true);
+        allowed
+    };
+    std::iter::repeat(()).take_while(spend).count()
+}
+
+#[test]
+fn a_guard_that_has_just_started_has_less_than_half_of_its_part() {
+    let mut anew = Allowance::new(Terms { ratio: 0.2, slack: 60.0 });
+
+    anew.share_with(2);
+
+    assert_eq!((left(anew), left(allowance(60.0, 2))), (7, 18), "what ran before it started is not known");
+}
+
+#[test]
+fn a_guard_that_finds_the_others_later_has_no_more_than_its_part() {
+    let mut anew = Allowance::new(Terms { ratio: 0.2, slack: 60.0 });
+
+    anew.share_with(1);
+    let alone = left(anew.clone());
+    anew.share_with(6);
+
+    assert_eq!((alone, left(anew)), (14, 2));
+}
+
+#[test]
+fn a_caller_s_repeat_is_allowed_from_the_start() {
+    let mut anew = Allowance::new(Terms { ratio: 0.2, slack: 58.0 });
+
+    anew.share_with(8);
+    anew.count(false);
+
+    assert!(anew.allows(false), "the deployment's first gray endpoints cost a repeat each");
+}
