--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -76,16 +76,6 @@
         Some(self.waiters.remove(at))
     }
 
-    /// Takes all out.
-    pub fn drain(&mut self) -> Vec<Waiter> {
-        std::mem::take(&mut self.waiters)
-    }
-
-    /// How many of those that wait would go before `waiter`.
-    pub fn ahead(&self, waiter: &Waiter, now: Instant) -> usize {
-        self.waiters.iter().filter(|it| order(it, now) <= order(waiter, now)).count()
-    }
-
     /// Takes out the next to begin, of those that `admits` lets through.
     pub fn next(&mut self, now: Instant, admits: impl Fn(&Waiter) -> bool) -> Option<Waiter> {
         let first = |fits: &dyn Fn(&Waiter) -> bool| {
--- a/src/proxy/guard/announced.rs
+++ b/src/proxy/guard/announced.rs
@@ -145,8 +145,9 @@
         drop(state);
         if heard.is_none_or(|it| clock::now().saturating_duration_since(it) > self.announce_every * 2) {
             self.stop();
+        } else {
+            self.pump();
         }
-        self.pump();
     }
 
     /// Stops giving places: all that wait are sent elsewhere.
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -89,7 +89,7 @@
                     sequence: copy.sequence,
                     endpoint: copy.endpoint.as_ref().map(|it| &*it.id),
                     service: copy.endpoint.as_ref().map(|it| &*it.service),
-                    standing: copy.endpoint.as_ref().map(|it| it.standing).unwrap_or_default(),
+                    standing: copy.standing(),
                 });
                 self.link_to(&name, peers);
             }
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -202,9 +202,9 @@
         self.health.borrow_mut().failed(now);
     }
 
-    /// Whether the peer should be asked last.
+    /// Whether the peer, though connected, should be asked last: its last calls failed.
     pub(super) fn rests(&self, now: Instant) -> bool {
-        !self.is_connected() || self.health.borrow().rests(now)
+        self.health.borrow().rests(now)
     }
 
     /// Takes in the load that the peer told.
--- a/src/proxy/view.rs
+++ b/src/proxy/view.rs
@@ -69,6 +69,11 @@
 }
 
 impl Row {
+    /// How far the endpoint is trusted, if there is one.
+    pub fn standing(&self) -> Standing {
+        self.endpoint.as_ref().map(|it| it.standing).unwrap_or_default()
+    }
+
     /// The part that changes often.
     pub fn brief(&self) -> Brief {
         Brief {
@@ -77,7 +82,7 @@
             sequence: self.sequence,
             turns: self.turns,
             version: self.version,
-            standing: self.endpoint.as_ref().map(|it| it.standing).unwrap_or_default(),
+            standing: self.standing(),
         }
     }
 }
--- a/standins/src/platform/soak/faults.rs
+++ b/standins/src/platform/soak/faults.rs
@@ -34,7 +34,8 @@
 }
 
 impl Side {
-    fn of(self, relays: &Relays) -> &Relay {
+    fn of(self, relays: &Option<Relays>) -> &Relay {
+        let relays = relays.as_ref().expect("a soak's proxies stand between relays");
         match self {
             Self::Peers => &relays.peers,
             Self::Endpoint => &relays.endpoint,
@@ -207,7 +208,6 @@
     fn begin(&mut self, fault: Fault, at: usize) {
         let now = Instant::now();
         let proxy = &mut self.site.proxies[at];
-        let relay = |side: Side| proxy.relays.as_ref().map(|it| side.of(it).clone());
         match fault {
             Fault::Kill => {
                 self.down[at] = true;
@@ -232,9 +232,9 @@
                 self.version += 1;
                 self.site.store.put_config(configuration(self.version));
             }
-            Fault::Weather(side, weather) => relay(side).iter().for_each(|it| it.set(weather)),
-            Fault::Silence(side) => relay(side).iter().for_each(Relay::forget_open),
-            Fault::Reset(side) => relay(side).iter().for_each(Relay::reset_open),
+            Fault::Weather(side, weather) => side.of(&proxy.relays).set(weather),
+            Fault::Silence(side) => side.of(&proxy.relays).forget_open(),
+            Fault::Reset(side) => side.of(&proxy.relays).reset_open(),
         }
         if matches!(fault, Fault::Kill | Fault::Pause) {
             self.disturbed.push(Disturbed { proxy: at, from: now, to: now + GRACE });
@@ -255,11 +255,7 @@
             Fault::Endpoint(_) => proxy.endpoint.set_mode(EndpointMode::Good),
             Fault::Leave => self.replace(at),
             Fault::Store(_) => self.site.store.set_mode(StoreMode::Good),
-            Fault::Weather(side, _) => {
-                if let Some(it) = &proxy.relays {
-                    side.of(it).set(Weather::Fair);
-                }
-            }
+            Fault::Weather(side, _) => side.of(&proxy.relays).set(Weather::Fair),
             Fault::Reload | Fault::Replace | Fault::Compact | Fault::Change | Fault::Silence(_) | Fault::Reset(_) => (),
         }
         Ok(())
--- a/standins/src/platform/soak/mod.rs
+++ b/standins/src/platform/soak/mod.rs
@@ -62,12 +62,12 @@
     let callers: Vec<Caller> = (0..options.proxies * CALLERS)
         .map(|at| Caller::new(options.seed, at, site.proxies[at % options.proxies].callers, at % options.proxies))
         .collect();
-    let readiness: Vec<_> = site.proxies.iter().map(|it| it.metrics).collect();
+    let metrics: Vec<_> = site.proxies.iter().map(|it| it.metrics).collect();
     let over = AtomicBool::new(false);
     let mut stage = Stage::new(options, &mut site);
     let (records, reverts, played) = thread::scope(|scope| {
         let calling: Vec<_> = callers.into_iter().map(|it| scope.spawn(|| it.run(&over))).collect();
-        let watching = scope.spawn(|| watch_versions(&readiness, &over));
+        let watching = scope.spawn(|| watch_versions(&metrics, &over));
         let played = stage.play();
         over.store(true, Ordering::Release);
         let records = calling.into_iter().flat_map(|it| it.join().expect("a caller does not panic")).collect();
