Calls are told by when they come and expire, no longer by the shape of their ids

Cause: the guard split a request's id at its last dot and took the rest for the id of the work that made it. Ruled out: the connection's address (callers' connections come from the VM's own address as well), headers (calls carry none of their own, and callers forge X-Caller-Service), exact deadlines (calls have their route's, not their parent's). Change: decide/origin. What is promised: an endpoint calls through the proxy beside it, only while it works, and a call expires no later than its parent. A request that outlives all work here is a caller's, and so is its route from then on; whatever else comes while work runs is a call of any work that lasts as long. The share of its possible parents that are repeats counts as a repeat; a failed call explains the failure of one of them. A proxy that starts beside an endpoint at work learns from a peer. The tests' new signatures carry the share in place of a bool.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -59,15 +59,20 @@
         self.tokens = self.tokens.min(self.size());
     }
 
-    /// Counts an arrival.
-    pub fn count(&mut self, repeat: bool) {
-        self.fill(if repeat { -1.0 } else { self.terms.ratio });
+    /// Counts an arrival, of which `repeat_share` counts as a repeat.
+    pub fn count(&mut self, repeat_share: f64) {
+        self.fill(self.worth(repeat_share));
     }
 
     /// Takes back what was counted for a place that was not used: nothing arrived. Places are often
     /// given by two guards at once under load, and firsts that never came would raise the allowance.
-    pub fn refund(&mut self, repeat: bool) {
-        self.fill(if repeat { 1.0 } else { -self.terms.ratio });
+    pub fn refund(&mut self, repeat_share: f64) {
+        self.fill(-self.worth(repeat_share));
+    }
+
+    /// The tokens that an arrival brings, below zero for those that it takes.
+    fn worth(&self, repeat_share: f64) -> f64 {
+        self.terms.ratio * (1.0 - repeat_share) - repeat_share
     }
 
     /// Whether one more repeat may arrive, of a call or of a caller's request.
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -19,7 +19,7 @@
 pub type WaiterId = u64;
 
 /// Work that waits.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Waiter {
     /// Which.
     pub id: WaiterId,
@@ -39,8 +39,8 @@
     pub useful_until: Instant,
     /// Whether it needs an allowance for repeats.
     pub needs_allowance: bool,
-    /// Whether it counts as a repeat.
-    pub repeat: bool,
+    /// How much of it counts as a repeat, 0 to 1.
+    pub repeat_share: f64,
     /// Its class.
     pub route: Box<str>,
 }
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -19,31 +19,34 @@
 const ENDED_BYTES: usize = 16 << 20;
 
 /// What a place is given for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Purpose {
     /// The work's class.
     pub route: RouteName,
     /// Whether the work may run again.
     pub idempotent: bool,
-    /// Whether it counts as a repeat.
-    pub repeat: bool,
+    /// How much of it counts as a repeat, 0 to 1.
+    pub repeat_share: f64,
     /// Whether the endpoint is not clean.
     pub trial: bool,
 }
 
 /// The work that uses a place.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Running {
-    /// The caller's attempt.
-    pub request: Box<str>,
-    /// Whether it is a repeat, or was called by one.
-    pub repeat: bool,
-    /// A call that it made was not answered well, so its own failure is not the endpoint's.
-    pub call_failed: bool,
+    /// How much of it counts as a repeat, 0 to 1.
+    pub repeat_share: f64,
+    /// The endpoint was told to stop by then.
+    pub until: Instant,
+    /// Failed calls that may be its own; the failure of the work that made one is not the endpoint's.
+    pub failed_calls: Vec<FailedCall>,
 }
 
+/// Numbers the calls that were not answered well.
+pub type FailedCall = u64;
+
 /// A place that is offered or in use.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Given {
     id: GrantId,
     endpoint: EndpointId,
@@ -53,6 +56,13 @@
     pub running: Option<Running>,
 }
 
+impl Given {
+    /// The work that uses it, with its class.
+    pub fn as_running(&self) -> Option<(GrantId, &str, &Running)> {
+        Some((self.id, &*self.purpose.route, self.running.as_ref()?))
+    }
+}
+
 struct Ended {
     id: GrantId,
     end: RunEnd,
@@ -131,9 +141,29 @@
         self.given.iter().find(|it| it.id == id)
     }
 
-    /// The place that the work `request` uses.
-    pub fn used_by(&mut self, request: &str) -> Option<&mut Given> {
-        self.given.iter_mut().find(|it| it.running.as_ref().is_some_and(|it| *it.request == *request))
+    /// The work that runs, with its class.
+    pub fn running(&self) -> impl Iterator<Item = (GrantId, &str, &Running)> {
+        self.given.iter().filter_map(Given::as_running)
+    }
+
+    /// A call of one of `parents` was not answered well.
+    pub fn call_failed(&mut self, call: FailedCall, parents: &[GrantId]) {
+        for it in self.given.iter_mut().filter(|it| parents.contains(&it.id)) {
+            if let Some(running) = &mut it.running {
+                running.failed_calls.push(call);
+            }
+        }
+    }
+
+    /// Whether the failure of `id` is explained by a failed call. Each explains the failure of one piece of
+    /// work only, whichever of its possible parents fails first.
+    pub fn explain_failure(&mut self, id: GrantId) -> bool {
+        let running = self.given.iter().find(|it| it.id == id).and_then(|it| it.running.as_ref());
+        let Some(call) = running.and_then(|it| it.failed_calls.first().copied()) else { return false };
+        for it in self.given.iter_mut().filter_map(|it| it.running.as_mut()) {
+            it.failed_calls.retain(|it| *it != call);
+        }
+        true
     }
 
     /// Uses a place, once; `None` if it is not offered by this run, or for another endpoint.
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -17,15 +17,17 @@
 use crate::{
     decide::{
         allowance::{Allowance, Terms},
+        origin::{Origin, Origins, Work},
         pace::Pace,
         suspicion::Record,
         wait_queue::{WaitQueue, WaiterId},
     },
     proxy::{
+        clock,
         endpoint::EndpointPool,
         events::Events,
-        guard::ledger::Ledger,
-        message::{Grant, Refusal},
+        guard::ledger::{FailedCall, Given, Ledger, Running},
+        message::{Grant, GrantId, Refusal},
         routes::{RouteName, ServiceName},
         view::{EndpointId, EndpointRow, Incarnation},
     },
@@ -96,17 +98,8 @@
     cold_until: Instant,
 }
 
-/// Where a request of this VM began.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// With a caller.
-    Caller,
-    /// With work that runs at the VM's endpoint.
-    Call {
-        /// That work is a repeat, so its calls count as repeats where they go.
-        of_repeat: bool,
-    },
-}
+/// How much work that may go on is remembered; far above what an endpoint works on at once.
+const LINGERING_KEPT: usize = 256;
 
 type PlaceSender = oneshot::Sender<Result<Grant, Refusal>>;
 
@@ -120,6 +113,13 @@
     ledger: Ledger,
     pace: Pace,
     allowance: Allowance,
+    /// Work that ended without the endpoint's answer: it may go on, and call, until its time is over. At most
+    /// `LINGERING_KEPT`.
+    lingering: Vec<Given>,
+    /// Tells calls from callers' requests.
+    origins: Origins,
+    /// The last number given to a failed call.
+    last_failed_call: FailedCall,
     /// Which services the work of a class called here; sorted.
     calls: Vec<(RouteName, ServiceName)>,
     /// This proxy stops: the endpoint's work must have ended by then.
@@ -128,6 +128,16 @@
     last_waiter: WaiterId,
 }
 
+impl State {
+    /// Remembers work that may go on at the endpoint.
+    fn keep_lingering(&mut self, given: Given, now: Instant) {
+        self.lingering.retain(|it| it.running.as_ref().is_some_and(|it| now < it.until));
+        if self.lingering.len() < LINGERING_KEPT {
+            self.lingering.push(given);
+        }
+    }
+}
+
 /// The guard of this VM's endpoint.
 pub struct Guard {
     announce_every: Duration,
@@ -143,7 +153,13 @@
 
 impl Guard {
     /// A guard that knows no endpoint yet.
-    pub fn new(incarnation: Incarnation, announce_every: Duration, terms: Terms, events: Rc<Events>) -> Self {
+    pub fn new(
+        incarnation: Incarnation,
+        announce_every: Duration,
+        terms: Terms,
+        learns_from: Instant,
+        events: Rc<Events>,
+    ) -> Self {
         Self {
             announce_every,
             events,
@@ -155,6 +171,9 @@
                 ledger: Ledger::new(incarnation),
                 pace: Pace::default(),
                 allowance: Allowance::new(terms),
+                lingering: Vec::new(),
+                origins: Origins::new(learns_from),
+                last_failed_call: 0,
                 calls: Vec::new(),
                 ends: None,
                 last_waiter: 0,
@@ -183,19 +202,48 @@
         (count(state.ledger.len()), count(state.queue.len()))
     }
 
-    /// Where a request of this VM for `service` began. Endpoints put the id of the work before the
-    /// id of its call; an id that only looks so, without that work running here, is a caller's.
-    pub fn origin(&self, request: &str, service: &str) -> Origin {
-        let Some((parent, _)) = request.rsplit_once('.') else { return Origin::Caller };
+    /// Where a request of this VM of the class `route`, for `service`, began that expires at `until`.
+    pub fn origin(&self, route: &str, service: &str, until: Instant) -> Origin {
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let State { ledger, calls, .. } = &mut *state;
-        let Some(given) = ledger.used_by(parent) else { return Origin::Caller };
-        let route = &given.purpose.route;
-        if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(route, service))) {
-            calls.insert(at, (route.clone(), service.into()));
+        let State { ledger, lingering, origins, calls, .. } = &mut *state;
+        let running = ledger.running();
+        let gone_on = lingering.iter().filter_map(Given::as_running).filter(|it| now < it.2.until);
+        let work = |(id, route, it): (GrantId, _, &Running)| Work {
+            id,
+            route,
+            until: it.until,
+            repeat_share: it.repeat_share,
+        };
+        let works: Vec<Work<'_>> = running.chain(gone_on).map(work).collect();
+        let origin = origins.judge(route, until, &works, now);
+        if let Origin::Call { parents, .. } = &origin {
+            let mut routes = works.iter().filter(|it| parents.contains(&it.id)).map(|it| it.route);
+            // Only where it is certain which class called.
+            if let Some(caller) = routes.next().filter(|it| routes.all(|other| other == *it)) {
+                note_call(calls, caller, service);
+            }
         }
-        let of_repeat = given.running.as_ref().is_some_and(|it| it.repeat);
-        Origin::Call { of_repeat }
+        origin
+    }
+
+    /// The routes that callers are known to use.
+    pub fn callers_routes(&self) -> Vec<RouteName> {
+        self.state.borrow().origins.callers_routes().to_vec()
+    }
+
+    /// Takes in which routes callers use, as another proxy has seen.
+    pub fn add_callers_routes(&self, routes: &[RouteName]) {
+        let mut state = self.state.borrow_mut();
+        routes.iter().for_each(|it| state.origins.add_callers_route(it));
+    }
+
+    /// Forgets routes that `keep` does not name.
+    pub fn retain_routes(&self, keep: impl Fn(&str) -> bool) {
+        let mut state = self.state.borrow_mut();
+        state.origins.retain(&keep);
+        state.pace.retain(&keep);
+        state.calls.retain(|it| keep(&it.0));
     }
 
     /// Whether work of `route` called a service here for which `tight` holds.
@@ -208,14 +256,12 @@
         !self.state.borrow().allowance.allows(true)
     }
 
-    /// A call of work that runs here was not answered well.
-    pub fn call_failed(&self, request: &str) {
-        let Some((parent, _)) = request.rsplit_once('.') else { return };
+    /// A call of one of `parents`, which run here, was not answered well.
+    pub fn call_failed(&self, parents: &[GrantId]) {
         let mut state = self.state.borrow_mut();
-        let running = state.ledger.used_by(parent).and_then(|it| it.running.as_mut());
-        if let Some(it) = running {
-            it.call_failed = true;
-        }
+        state.last_failed_call += 1;
+        let call = state.last_failed_call;
+        state.ledger.call_failed(call, parents);
     }
 
     /// How many runs are under way.
@@ -229,6 +275,13 @@
     }
 }
 
+/// Writes down that work of the class `route` calls `service`.
+fn note_call(calls: &mut Vec<(RouteName, ServiceName)>, route: &str, service: &str) {
+    if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(route, service))) {
+        calls.insert(at, (route.into(), service.into()));
+    }
+}
+
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -59,7 +59,7 @@
                 arrived: now,
                 useful_until: now + req.useful_for,
                 needs_allowance: req.arrival == Arrival::Repeat,
-                repeat: req.arrival != Arrival::First,
+                repeat_share: req.arrival.repeat_share(),
                 route: req.route.clone(),
             });
             state.senders.push((id, tx));
@@ -119,7 +119,7 @@
             let purpose = Purpose {
                 route: waiter.route,
                 idempotent: waiter.idempotent,
-                repeat: waiter.repeat,
+                repeat_share: waiter.repeat_share,
                 trial: endpoint.record.standing() != Standing::Clean,
             };
             let grant = ledger.offer(endpoint.announced.id.clone(), purpose);
@@ -129,7 +129,7 @@
                 continue;
             }
             endpoint.record.begun(now);
-            allowance.count(waiter.repeat);
+            allowance.count(waiter.repeat_share);
             return Some(id);
         }
         None
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -70,7 +70,8 @@
         let mut state = self.state.borrow_mut();
         let State { endpoint, ledger, pace, .. } = &mut *state;
         let endpoint = endpoint.as_ref().filter(|it| it.announced.id == run.grant.endpoint)?;
-        let running = Running { request: run.request.clone(), repeat: run.repeat, call_failed: false };
+        let until = clock::now() + run.left;
+        let running = Running { repeat_share: run.repeat_share, until, failed_calls: Vec::new() };
         let purpose = &ledger.begin(&run.grant, running)?.purpose;
         let usual = pace.mean(&purpose.route);
         let stages = Stages {
@@ -81,7 +82,7 @@
     }
 
     async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, stages: Stages) -> RunEnd {
-        let Run { grant, request, method, target, content, left, repeat: _ } = run;
+        let Run { grant, request, method, target, content, left, repeat_share: _ } = run;
         let mut head = hyper::Request::new(());
         match (method.parse(), target.parse()) {
             (Ok(method), Ok(target)) => {
@@ -122,7 +123,6 @@
         let state = self.state.borrow();
         let Some(given) = state.ledger.given(grant.id) else { return };
         let route = given.purpose.route.clone();
-        let call_failed = given.running.as_ref().is_some_and(|it| it.call_failed);
         let failure = Sample::failure(took, state.pace.mean(&route));
         drop(state);
         let (sample, why) = match end {
@@ -131,7 +131,7 @@
                 (Sample::Good, "answered")
             }
             RunEnd::Answered { status: 504, .. } if took + CLOSE >= left => return,
-            RunEnd::Answered { .. } if call_failed => return,
+            RunEnd::Answered { .. } if self.state.borrow_mut().ledger.explain_failure(grant.id) => return,
             RunEnd::Answered { .. } => (failure, "failed"),
             RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) | RunEnd::NotRun(NotRun::NoGrant) => return,
             RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => (failure, "broken"),
@@ -166,9 +166,13 @@
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let unused = end == RunEnd::NotRun(NotRun::NoGrant);
+        let may_go_on = matches!(end, RunEnd::Unknown(_));
         let Some(given) = state.ledger.end(grant, end, now) else { return };
         if unused {
-            state.allowance.refund(given.purpose.repeat);
+            state.allowance.refund(given.purpose.repeat_share);
+        }
+        if may_go_on {
+            state.keep_lingering(given, now);
         }
         drop(state);
         self.run_ended.notify_waiters();
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -11,7 +11,6 @@
 use crate::proxy::{
     Proxy, clock,
     events::{Event, Failure},
-    guard::Origin,
     message::{Ask, Grant, NotRun, Ran, Relay, Run, RunEnd, Unknown, path},
     peer::{Link, LinkError},
 };
@@ -142,7 +141,7 @@
         let run = Run {
             grant: placed.grant.clone(),
             request: job.request.clone(),
-            repeat: job.attempts.get() > 1 || job.origin == Origin::Call { of_repeat: true },
+            repeat_share: if job.attempts.get() > 1 { 1.0 } else { job.repeat_share() },
             method: job.method.clone(),
             target: job.target.clone(),
             content: job.content.clone(),
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -19,12 +19,12 @@
 use tokio::time::timeout;
 
 use crate::{
-    decide::{pace::Pace, shares::Shares},
+    decide::{origin::Origin, pace::Pace, shares::Shares},
     platform,
     proxy::{
         Proxy, client, clock,
         events::{Answered, Event},
-        guard::{Origin, Surroundings},
+        guard::Surroundings,
         headers,
         message::{Arrival, Grant, Reserve, Whole},
         peer::Link,
@@ -56,12 +56,10 @@
 }
 
 impl IngressState {
-    /// Forgets routes that `config` does not have.
-    pub(super) fn keep_routes(&mut self, config: &Config) {
-        let mut names: Vec<&str> = config.routes().iter().map(|it| &*it.name).collect();
-        names.sort_unstable();
-        self.shares.retain(|it| names.binary_search(&&*it.0).is_ok());
-        self.pace.retain(|it| names.binary_search(&it).is_ok());
+    /// Forgets routes that `keep` does not name.
+    pub(super) fn retain_routes(&mut self, keep: impl Fn(&str) -> bool) {
+        self.shares.retain(|it| keep(&it.0));
+        self.pace.retain(keep);
     }
 }
 
@@ -186,7 +184,7 @@
     platform::set_caller_service(&mut passed_on, &proxy.settings.borrow().service);
     let service = proxy.deal(route);
     let job = Job {
-        origin: proxy.guard.origin(&id, &service),
+        origin: proxy.guard.origin(&route.name, &service, caller_deadline),
         service,
         request: id.clone(),
         method: head.method.as_str().into(),
@@ -300,8 +298,10 @@
         };
         let took = clock::now().saturating_duration_since(job.arrived);
         let route = job.route();
-        if job.is_call() && !resp.status().is_success() {
-            self.guard.call_failed(&job.request);
+        if let Origin::Call { parents, .. } = &job.origin
+            && !resp.status().is_success()
+        {
+            self.guard.call_failed(parents);
         }
         self.events.emit(&Event::Answered(Answered {
             request: &job.request,
@@ -340,10 +340,17 @@
 
     /// What the next attempt is to the allowance of its guard.
     fn next_arrival(&self) -> Arrival {
+        match self.attempts.get() {
+            0 => Arrival::First { repeat_share: self.repeat_share() },
+            _ => Arrival::Repeat,
+        }
+    }
+
+    /// How much of the request counts as a repeat where it goes, 0 to 1.
+    fn repeat_share(&self) -> f64 {
         match self.origin {
-            _ if self.attempts.get() > 0 => Arrival::Repeat,
-            Origin::Call { of_repeat: true } => Arrival::CallOfRepeat,
-            Origin::Call { of_repeat: false } | Origin::Caller => Arrival::First,
+            Origin::Call { repeat_share, .. } => repeat_share,
+            Origin::Caller => 0.0,
         }
     }
 
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -29,17 +29,30 @@
     pub(crate) const HELLO: &str = "/hello";
     pub(crate) const BRIEF: &str = "/brief";
     pub(crate) const CONFIG: &str = "/config";
+    pub(crate) const CALLERS_ROUTES: &str = "/callers-routes";
 }
 
 /// What an attempt is to the allowance for repeats.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub enum Arrival {
     /// The first of its request.
-    First,
+    First {
+        /// The part of it that counts as a repeat, 0 to 1: calls of repeated work do, and running work waits
+        /// for them.
+        repeat_share: f64,
+    },
     /// One more of its request; needs an allowance.
     Repeat,
-    /// The first of a call of repeated work; counts as a repeat, but running work waits for it.
-    CallOfRepeat,
+}
+
+impl Arrival {
+    /// How much of it counts as a repeat, 0 to 1.
+    pub fn repeat_share(self) -> f64 {
+        match self {
+            Self::First { repeat_share } => repeat_share,
+            Self::Repeat => 1.0,
+        }
+    }
 }
 
 /// What a reserved place is for.
@@ -152,8 +165,8 @@
     pub grant: Grant,
     /// The attempt of the caller.
     pub request: Box<str>,
-    /// Whether this is a repeat, or was called by one; its own calls then are, too.
-    pub repeat: bool,
+    /// How much of this counts as a repeat, 0 to 1; its own calls count alike.
+    pub repeat_share: f64,
     /// The method.
     pub method: Box<str>,
     /// Path and query.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -32,7 +32,7 @@
     io,
     path::{Path, PathBuf},
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
@@ -56,6 +56,10 @@
 /// The bounds of the latency histograms, in seconds: from a hop to the longest timeouts.
 const BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 25.0, 60.0];
 
+/// How long work may go on at the endpoint that a former run of this process began: as long as almost any work
+/// takes, so that its calls aren't mistaken for callers' requests.
+const FORMER_WORK: Duration = Duration::from_secs(10);
+
 /// The state of this process.
 pub(crate) struct Proxy {
     name: ProxyName,
@@ -68,6 +72,8 @@
     /// The configuration in force; its version never goes down.
     config: RefCell<Option<Rc<Config>>>,
     config_changed: Notify,
+    /// What peers saw of callers' routes is still to be asked for.
+    asks_callers_routes: Cell<bool>,
     /// A configuration is being fetched from a peer.
     fetching: Cell<bool>,
     view: RefCell<View>,
@@ -116,13 +122,15 @@
 impl Proxy {
     fn new(settings: Settings, path: &Path, events: Rc<Events>) -> Result<Self, Error> {
         let incarnation = rand::random();
+        let learns_from = clock::now() + if settings.first_start { Duration::ZERO } else { FORMER_WORK };
         let terms = Terms { ratio: settings.retry_ratio, slack: settings.retry_slack };
         Ok(Self {
             name: settings.name.clone(),
             incarnation,
             settings_path: path.into(),
             store: Store::new(settings.store),
-            guard: Rc::new(Guard::new(incarnation, settings.announce_every, terms, Rc::clone(&events))),
+            guard: Rc::new(Guard::new(incarnation, settings.announce_every, terms, learns_from, Rc::clone(&events))),
+            asks_callers_routes: Cell::new(!settings.first_start),
             settings: RefCell::new(Rc::new(settings)),
             events,
             config: RefCell::default(),
@@ -154,11 +162,20 @@
         }
         self.events.emit(&Event::Config { version: config.version, before, source, routes: config.routes().len() });
         metrics::gauge!("jayreach_config_version").set(config.version as f64);
-        self.ingress.borrow_mut().keep_routes(&config);
+        self.keep_routes(&config);
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.config_changed.notify_one();
     }
 
+    /// Forgets what was learnt of routes that `config` does not have.
+    fn keep_routes(&self, config: &Config) {
+        let mut names: Vec<&str> = config.routes().iter().map(|it| &*it.name).collect();
+        names.sort_unstable();
+        let keep = |it: &str| names.binary_search(&it).is_ok();
+        self.ingress.borrow_mut().retain_routes(keep);
+        self.guard.retain_routes(keep);
+    }
+
     /// What this proxy says of itself.
     fn row(&self) -> Row {
         let settings = self.settings.borrow();
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -42,6 +42,7 @@
         path::RELAY => reply(&body, |it| proxy.relay(it)).await,
         path::HELLO => reply(&body, |it| proxy.hello(it)).await,
         path::BRIEF => reply(&body, |it| proxy.brief(it)).await,
+        path::CALLERS_ROUTES => reply(&body, |()| async { proxy.guard.callers_routes() }).await,
         path::CONFIG => reply(&body, |it| proxy.newer_config(it)).await,
         _ => answer(StatusCode::NOT_FOUND, Bytes::new()),
     }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -24,14 +24,14 @@
                 let first = rng.random_range(0..guards);
                 busy_before = std::mem::replace(&mut busy, first..rng.random_range(first..guards) + 1);
             }
-            all[rng.random_range(busy.clone())].count(false);
+            all[rng.random_range(busy.clone())].count(0.0);
             arrivals.push((tick * 10, false));
             let storm = tick % (2 * CALM) >= CALM;
             if storm && rng.random_bool(pressure) {
                 let elsewhere = rng.random_bool(0.5);
                 let guard = &mut all[rng.random_range(if elsewhere { busy_before.clone() } else { busy.clone() })];
                 if guard.allows(true) {
-                    guard.count(true);
+                    guard.count(1.0);
                     arrivals.push((tick * 10, true));
                 }
             }
@@ -53,7 +53,7 @@
     let mut allowance = Allowance::new(Terms { ratio: 0.2, slack });
     allowance.share_with(guards);
     for _ in 0..500 {
-        allowance.count(false);
+        allowance.count(0.0);
     }
     allowance
 }
@@ -61,11 +61,11 @@
 #[test]
 fn a_repeat_that_did_not_arrive_is_given_back() {
     let mut allowance = allowance(4.0, 1);
-    allowance.count(true);
-    allowance.count(true);
+    allowance.count(1.0);
+    allowance.count(1.0);
 
     let used_up = !allowance.allows(true);
-    allowance.refund(true);
+    allowance.refund(1.0);
 
     assert!(used_up, "six tenths of the slack are handed out");
     assert!(!allowance.allows(false), "callers' repeats leave a part to those of calls");
@@ -75,13 +75,13 @@
 #[test]
 fn first_arrivals_that_never_came_allow_no_repeats() {
     let mut allowance = allowance(0.0, 1);
-    allowance.count(true);
+    allowance.count(1.0);
     for _ in 0..5 {
-        allowance.count(false);
+        allowance.count(0.0);
     }
 
     let before = allowance.allows(true);
-    allowance.refund(false);
+    allowance.refund(0.0);
 
     assert!(before, "one repeat for five requests");
     assert!(!allowance.allows(true), "four requests allow none");
@@ -91,15 +91,15 @@
 fn calls_of_repeated_work_are_paid_back_before_the_next_repeat() {
     let mut allowance = allowance(4.0, 1);
     for _ in 0..5 {
-        allowance.count(true);
+        allowance.count(1.0);
     }
 
     for _ in 0..17 {
-        allowance.count(false);
+        allowance.count(0.0);
     }
     let before = allowance.allows(true);
     for _ in 0..2 {
-        allowance.count(false);
+        allowance.count(0.0);
     }
 
     assert!(!before, "what the calls took beyond the bucket, and the next repeat, take eighteen requests");
@@ -110,7 +110,7 @@
 fn left(mut allowance: Allowance) -> usize {
     let spend = |_: &()| {
         let allowed = allowance.allows(true);
-        allowance.count(true);
+        allowance.count(1.0);
         allowed
     };
     std::iter::repeat(()).take_while(spend).count()
@@ -141,7 +141,7 @@
     let mut anew = Allowance::new(Terms { ratio: 0.2, slack: 58.0 });
 
     anew.share_with(8);
-    anew.count(false);
+    anew.count(0.0);
 
     assert!(anew.allows(false), "the deployment's first gray endpoints cost a repeat each");
 }
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -69,12 +69,12 @@
     }
 
     fn offer(&mut self, guard: usize) -> Grant {
-        let purpose = Purpose { route: "r".into(), idempotent: false, repeat: false, trial: false };
+        let purpose = Purpose { route: "r".into(), idempotent: false, repeat_share: 0.0, trial: false };
         self.guards[guard].offer("i".into(), purpose)
     }
 
     fn begin(&mut self, guard: usize, grant: &Grant) {
-        let running = Running { request: "r".into(), repeat: false, call_failed: false };
+        let running = Running { repeat_share: 0.0, until: self.now, failed_calls: Vec::new() };
         let used_again = self.fault == Fault::UsedAgain && grant.guard == guard as u64 + 1;
         if self.guards[guard].begin(grant, running).is_some() || used_again {
             self.runs += 1;
@@ -208,7 +208,7 @@
 #[test]
 fn an_end_is_remembered_for_a_while_and_then_unknown() {
     let (now, mut ledger) = (Instant::now(), Ledger::new(1));
-    let purpose = Purpose { route: "r".into(), idempotent: false, repeat: false, trial: false };
+    let purpose = Purpose { route: "r".into(), idempotent: false, repeat_share: 0.0, trial: false };
     let grant = ledger.offer("i".into(), purpose.clone());
     let other = ledger.offer("i".into(), purpose);
 
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -178,6 +178,7 @@
         ("{{bounds.grace_s|json}}", "6"),
         ("{{bounds.retry_budget_ratio|json}}", "0.2"),
         ("{{bounds.budget_slack|json}}", "60"),
+        ("{{bootstrap|json}}", "true"),
     ] {
         assert!(text.contains(field), "{field}");
         text = text.replace(field, value);
@@ -193,7 +194,7 @@
     assert_eq!((&*settings.name, &*settings.data_centre), ("sidecar-a-1", "a"));
     assert_eq!(settings.callers.to_string(), "10.1.0.8:8304");
     assert_eq!((settings.grace, settings.retry_slack), (Duration::from_secs(6), 60.0));
-    assert_eq!(settings.advertised, settings.peers);
+    assert_eq!((settings.advertised, settings.first_start), (settings.peers, true));
 }
 
 #[test]
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -24,7 +24,7 @@
         arrived,
         useful_until: arrived + useful,
         needs_allowance: false,
-        repeat: false,
+        repeat_share: 0.0,
         route: "r".into(),
     }
 }
