An account of slot time: where each endpoint's slots go

Change: decide/slot_time sums each slot's time by use (answered, failed, call failed, declined, abandoned, offered, blocked, distrusted, cold, idle); the sums are slots times time (tests/slot_time.rs). Each guard writes a line slots every 5 s and serves jayreach_slot_milliseconds_total.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
 pub mod pace;
 pub mod place;
 pub mod shares;
+pub mod slot_time;
 pub mod suspicion;
 pub mod wait_queue;
 
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -31,6 +31,8 @@
 /// The pause between such questions, and how many there are: it announces itself sooner or later.
 const FIND_PAUSE: Duration = Duration::from_millis(400);
 const FIND_TRIES: u32 = 3;
+/// How often the account of the slots is written: often enough to see a spell of failures, seldom enough to cost nothing.
+const SLOTS_EVERY: Duration = Duration::from_secs(5);
 
 impl Proxy {
     /// Opens all listeners and serves them.
@@ -68,6 +70,17 @@
         spawn_local(Rc::clone(self).tell_changes());
         spawn_local(Rc::clone(self).relay_versions());
         spawn_local(Rc::clone(self).find_endpoint());
+        spawn_local(Rc::clone(self).tell_slots());
+    }
+
+    /// Says from time to time where the time of the endpoint's slots went.
+    async fn tell_slots(self: Rc<Self>) {
+        loop {
+            sleep(SLOTS_EVERY).await;
+            let Some(endpoint) = self.guard.row() else { continue };
+            let uses = self.guard.slot_ms();
+            self.events.emit(&Event::Slots { service: &endpoint.service, slots: endpoint.slots, uses: &uses });
+        }
     }
 
     fn readiness(&self) -> Answer {
@@ -84,6 +97,9 @@
                 let (running, waiting) = self.guard.load();
                 metrics::gauge!("jayreach_running").set(f64::from(running));
                 metrics::gauge!("jayreach_waiting").set(f64::from(waiting));
+                for (on, millis) in self.guard.slot_ms() {
+                    metrics::counter!("jayreach_slot_milliseconds_total", "use" => on).absolute(millis);
+                }
                 answer(StatusCode::OK, self.metrics.render())
             }
             "/status" => json(StatusCode::OK, self.status()),
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -55,6 +55,8 @@
     Endpoint { id: &'a str, born: Option<UnixMillis>, service: &'a str, phase: &'a str, sequence: u64, why: &'a str },
     /// The VM's endpoint became suspect, declining or clean.
     Standing { endpoint: &'a str, standing: Standing, request: &'a str, why: &'a str },
+    /// Where the time of the endpoint's slots went since the process began, in milliseconds.
+    Slots { service: &'a str, slots: u32, uses: &'a [(&'static str, u64)] },
     /// A request could not be used.
     Rejected { request: &'a str, status: u16, why: &'a str },
     /// A place at an endpoint was asked for in vain.
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -39,10 +39,14 @@
 pub struct Running {
     /// How much of it counts as a repeat, 0 to 1.
     pub repeat_share: f64,
+    /// When it was begun.
+    pub begun: Instant,
     /// The endpoint was told to stop by then.
     pub until: Instant,
     /// Failed calls that may be its own; the failure of the work that made one is not the endpoint's.
     pub failed_calls: Vec<FailedCall>,
+    /// It failed, and a failed call explains it.
+    pub explained: bool,
 }
 
 /// Numbers the calls that were not answered well.
@@ -161,8 +165,10 @@
     /// Whether the failure of `id` is explained by a failed call. Each explains the failure of one piece of
     /// work only, whichever of its possible parents fails first.
     pub fn explain_failure(&mut self, id: GrantId) -> bool {
-        let running = self.given.iter().find(|it| it.id == id).and_then(|it| it.running.as_ref());
-        let Some(call) = running.and_then(|it| it.failed_calls.first().copied()) else { return false };
+        let running = self.given.iter_mut().find(|it| it.id == id).and_then(|it| it.running.as_mut());
+        let Some(running) = running.filter(|it| !it.failed_calls.is_empty()) else { return false };
+        running.explained = true;
+        let call = running.failed_calls[0];
         for it in self.given.iter_mut().filter_map(|it| it.running.as_mut()) {
             it.failed_calls.retain(|it| *it != call);
         }
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -20,6 +20,7 @@
         life::EndpointId,
         origin::{Origin, Origins, Work},
         pace::Pace,
+        slot_time::{Occupancy, SlotTime, Use},
         suspicion::Record,
         wait_queue::{WaitQueue, WaiterId},
     },
@@ -99,6 +100,16 @@
     cold_until: Instant,
 }
 
+impl Endpoint {
+    /// How much it may work on at once now.
+    fn usable_slots(&self, now: Instant) -> u32 {
+        let slots = self.announced.slots;
+        if now < self.cold_until { slots.div_ceil(COLD_PART) } else { slots }
+    }
+}
+
+/// An endpoint that warms up works at about half its speed.
+const COLD_PART: u32 = 2;
 /// How much work that may go on is remembered; far above what an endpoint works on at once.
 const LINGERING_KEPT: usize = 256;
 
@@ -125,11 +136,28 @@
     calls: Vec<(RouteName, ServiceName)>,
     /// This proxy stops: the endpoint's work must have ended by then.
     ends: Option<Instant>,
+    /// Where the slots' time goes.
+    slot_time: SlotTime,
     /// The last number given to a waiter.
     last_waiter: WaiterId,
 }
 
 impl State {
+    /// Accounts for the slots until now; to be called whenever they may be taken otherwise than before.
+    fn account(&mut self, now: Instant) {
+        let serving = self.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
+        let offered = count(self.ledger.offered().len());
+        let next = serving.map_or_else(Occupancy::default, |it| Occupancy {
+            slots: it.announced.slots,
+            usable: it.usable_slots(now),
+            offered,
+            working: count(self.ledger.len()) - offered,
+            standing: it.record.standing(),
+            waiters: !self.queue.is_empty(),
+        });
+        self.slot_time.step(next, now);
+    }
+
     /// Remembers work that may go on at the endpoint.
     fn keep_lingering(&mut self, given: Given, now: Instant) {
         self.lingering.retain(|it| it.running.as_ref().is_some_and(|it| now < it.until));
@@ -171,6 +199,7 @@
                 last_failed_call: 0,
                 calls: Vec::new(),
                 ends: None,
+                slot_time: SlotTime::default(),
                 last_waiter: 0,
             }),
             run_ended: Notify::new(),
@@ -263,6 +292,14 @@
         self.state.borrow().ledger.len()
     }
 
+    /// Milliseconds of slot time by use, since the start of this process.
+    pub fn slot_ms(&self) -> Vec<(&'static str, u64)> {
+        let mut state = self.state.borrow_mut();
+        state.account(clock::now());
+        let millis = |it: Use| u64::try_from(state.slot_time.sum(it).as_millis()).unwrap_or(u64::MAX);
+        Use::ALL.iter().map(|it| (it.name(), millis(*it))).collect()
+    }
+
     /// Whether no endpoint is known.
     pub fn is_without_endpoint(&self) -> bool {
         self.state.borrow().endpoint.is_none()
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -23,8 +23,6 @@
 /// How long a place is kept for an ingress that does not use it: many round trips between data
 /// centres, and short beside the work.
 const GRANT_TTL: Duration = Duration::from_millis(300);
-/// An endpoint that warms up works at about half its speed.
-const COLD_PART: u32 = 2;
 
 impl Guard {
     /// Waits for a place. Dropping the future takes the wish, or the place, back.
@@ -83,6 +81,7 @@
                 offered.push(id);
             }
             state.turn_away(now);
+            state.account(now);
         }
         for id in offered {
             self.expire(id);
@@ -107,8 +106,7 @@
     fn offer_next(&mut self, now: Instant) -> Option<GrantId> {
         let Self { endpoint, queue, senders, ledger, allowance, pace, ends, .. } = self;
         let endpoint = endpoint.as_mut().filter(|it| it.announced.phase == EndpointPhase::Serving)?;
-        let cold = now < endpoint.cold_until;
-        let limit = if cold { endpoint.announced.slots.div_ceil(COLD_PART) } else { endpoint.announced.slots };
+        let limit = endpoint.usable_slots(now);
         while count(ledger.len()) < limit {
             let trials = count(ledger.trials());
             let admits = |it: &Waiter| {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -14,6 +14,7 @@
 use crate::{
     decide::{
         life::EndpointId,
+        slot_time::Use,
         suspicion::{self, Sample},
     },
     proxy::{
@@ -73,8 +74,14 @@
         let mut state = self.state.borrow_mut();
         let State { endpoint, ledger, pace, .. } = &mut *state;
         let endpoint = endpoint.as_ref().filter(|it| it.announced.id == run.grant.endpoint)?;
-        let until = clock::now() + run.left;
-        let running = Running { repeat_share: run.repeat_share, until, failed_calls: Vec::new() };
+        let now = clock::now();
+        let running = Running {
+            repeat_share: run.repeat_share,
+            begun: now,
+            until: now + run.left,
+            failed_calls: Vec::new(),
+            explained: false,
+        };
         let purpose = &ledger.begin(&run.grant, running)?.purpose;
         let usual = pace.mean(&purpose.route);
         let stages = Stages {
@@ -170,7 +177,12 @@
         let mut state = self.state.borrow_mut();
         let unused = end == RunEnd::NotRun(NotRun::NoGrant);
         let may_go_on = matches!(end, RunEnd::Unknown(_));
+        let on = use_of(&end);
         let Some(given) = state.ledger.end(grant, end, now) else { return };
+        if let Some(it) = &given.running {
+            let on = if it.explained { Use::CallFailed } else { on };
+            state.slot_time.worked(on, now.saturating_duration_since(it.begun));
+        }
         if unused {
             state.allowance.refund(given.purpose.repeat_share);
         }
@@ -206,6 +218,16 @@
     }
 }
 
+/// What the time of work with this end was spent on.
+fn use_of(end: &RunEnd) -> Use {
+    match end {
+        RunEnd::Answered { status, .. } if *status < 500 => Use::Answered,
+        RunEnd::Answered { .. } | RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => Use::Failed,
+        RunEnd::NotRun(_) => Use::Declined,
+        RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) => Use::Abandoned,
+    }
+}
+
 /// Gives the place of idempotent work back when its future is dropped before its end.
 struct Cancel<'a> {
     guard: &'a Rc<Guard>,
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -81,7 +81,8 @@
     }
 
     fn begin(&mut self, guard: usize, grant: &Grant) {
-        let running = Running { repeat_share: 0.0, until: self.now, failed_calls: Vec::new() };
+        let running =
+            Running { repeat_share: 0.0, begun: self.now, until: self.now, failed_calls: Vec::new(), explained: false };
         let used_again = self.fault == Fault::UsedAgain && grant.guard == guard as u64 + 1;
         if self.guards[guard].begin(grant, running).is_some() || used_again {
             self.runs += 1;
--- /dev/null
+++ b/tests/slot_time.rs
@@ -0,0 +1,60 @@
+//! The account of slots: it adds up, whatever happens.
+
+use std::time::{Duration, Instant};
+
+use jayreach::decide::{
+    slot_time::{Occupancy, SlotTime, Use},
+    suspicion::Standing,
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
+
+const SLOTS: u32 = 5;
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn the_sums_are_slots_times_time(#[case] seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let (mut now, mut account) = (start, SlotTime::default());
+    let mut works: Vec<Instant> = Vec::new();
+    account.step(Occupancy { slots: SLOTS, usable: SLOTS, ..Occupancy::default() }, now);
+
+    for _ in 0..2_000 {
+        now += Duration::from_millis(rng.random_range(0..50));
+        let usable = if rng.random_bool(0.2) { SLOTS.div_ceil(2) } else { SLOTS };
+        if rng.random_bool(0.5) && works.len() < 4 {
+            works.push(now);
+        } else if let Some(begun) = works.pop() {
+            account.worked(Use::ALL[rng.random_range(0..5)], now - begun);
+        }
+        let working = u32::try_from(works.len()).expect("few");
+        let offered = rng.random_range(0..=SLOTS - working);
+        let standing = if rng.random_bool(0.3) { Standing::Suspect } else { Standing::Clean };
+        account
+            .step(Occupancy { slots: SLOTS, usable, offered, working, standing, waiters: rng.random_bool(0.5) }, now);
+    }
+
+    let under_way: Duration = works.iter().map(|it| now - *it).sum();
+    let sum: Duration = Use::ALL.iter().map(|it| account.sum(*it)).sum();
+    assert_eq!(sum + under_way, (now - start) * SLOTS);
+}
+
+#[rstest]
+#[case::nothing_waits(Standing::Clean, false, Use::Idle)]
+#[case::work_waits(Standing::Clean, true, Use::Blocked)]
+#[case::it_failed(Standing::Suspect, true, Use::Distrusted)]
+#[case::it_declined(Standing::Declining, false, Use::Distrusted)]
+fn a_free_slot_has_its_reason(#[case] standing: Standing, #[case] waiters: bool, #[case] wanted: Use) {
+    let start = Instant::now();
+    let mut account = SlotTime::default();
+    let occupancy = Occupancy { slots: SLOTS, usable: SLOTS, offered: 1, working: 1, standing, waiters };
+
+    account.step(occupancy, start);
+    account.step(occupancy, start + Duration::from_secs(2));
+
+    assert_eq!(account.sum(wanted), Duration::from_secs(6));
+    assert_eq!(account.sum(Use::Offered), Duration::from_secs(2));
+}
