--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod life;
 pub mod origin;
 pub mod pace;
+pub mod patience;
 pub mod place;
 pub mod shares;
 pub mod slot_time;
--- /dev/null
+++ b/src/decide/patience.rs
@@ -0,0 +1,41 @@
+//! Until when waiting for a place makes sense.
+//!
+//! Load pattern: more work than slots for many seconds. Work that begins too late for its goal takes a slot from work
+//! that could still be in time, and then both end late; a caller whose work can't begin in time is better refused at
+//! once, with when to come back. Work varies: with its mean time left, four pieces in ten end late.
+
+use std::time::{Duration, Instant};
+
+/// Work is begun only with so many times its mean time left. With 1.8 in place of 1, a service at 1.4 times its load
+/// ends 0.63 of its most urgent class's credit in time in place of 0.57 (mean of six simulated days of 50 s); 2.2
+/// and the mean with two mean deviations give the same within 0.01.
+const TIMES_MEAN: f64 = 1.8;
+/// The part of the goal that a class of unknown length is taken to work.
+const UNKNOWN_WORK: u32 = 3;
+/// The part of the goal for which work may wait at least, however long it takes: a class whose usual time is near its
+/// goal would never wait, and be served by luck.
+const LEAST_WAIT: u32 = 3;
+
+/// What is asked of a piece of work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// When it came.
+    pub arrived: Instant,
+    /// Answers are worth most within this.
+    pub goal: Duration,
+    /// Its answer must be given by then.
+    pub give_up: Instant,
+    /// Running work waits for it, so that it is of use until its time is over.
+    pub call: bool,
+}
+
+/// When `terms` no longer let work be begun whose mean time is `mean`, if known.
+pub fn begin_by(terms: Terms, mean: Option<Duration>) -> Instant {
+    let Terms { arrived, goal, give_up, call } = terms;
+    let takes = mean.map_or(goal / UNKNOWN_WORK, |it| it.mul_f64(TIMES_MEAN));
+    let by_deadline = give_up.checked_sub(takes).unwrap_or(arrived);
+    if call {
+        return by_deadline;
+    }
+    by_deadline.min(arrived + goal.saturating_sub(takes).max(goal / LEAST_WAIT))
+}
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -13,6 +13,7 @@
     decide::{
         life::EndpointId,
         origin::Origin,
+        patience::{Terms, begin_by},
         place::{Candidate, Order, order},
         suspicion::{self, Standing},
     },
@@ -28,13 +29,13 @@
 /// How long one guard is waited for before another is asked too: a few round trips between data
 /// centres. All asked guards keep the wish in their queues; the first free place is taken.
 const ASK_ANOTHER_AFTER: Duration = Duration::from_millis(15);
-/// How many guards hold a wish at first: more shorten the wait little and cost calls.
-const WISHES: usize = 4;
+/// How many guards hold a wish at first. More shorten the wait little, and each costs two small VMs processor time
+/// just when they are short of it: with two and a further one each 120 ms in place of four and 60 ms, and the
+/// patience of the mean, 91 proxies under load served 0.43 of the least served class in place of 0.16.
+const WISHES: usize = 2;
 /// After this one more guard may hold a wish: some of the first may be behind a cut, and their
 /// silence looks like a queue.
-const ONE_MORE_WISH: Duration = Duration::from_millis(60);
-/// The part of the goal that a class of unknown length is taken to work.
-const UNKNOWN_WORK: u32 = 3;
+const ONE_MORE_WISH: Duration = Duration::from_millis(120);
 
 /// The endpoints that may do a piece of work, and the order in which their guards are asked.
 struct Choice {
@@ -77,11 +78,9 @@
     /// Until when waiting for a place makes sense.
     fn patience(&self, job: &Job) -> Instant {
         let route = job.route();
-        let usual = self.ingress.borrow().pace.mean(&route.name).unwrap_or(route.goal / UNKNOWN_WORK);
-        let by_goal = job.arrived + route.goal.saturating_sub(usual).max(route.goal / UNKNOWN_WORK);
-        let end = self.stop_at.get().map_or(job.give_up, |it| job.give_up.min(it));
-        let by_deadline = end.checked_sub(usual).unwrap_or(job.arrived);
-        if job.is_call() { by_deadline } else { by_goal.min(by_deadline) }
+        let give_up = self.stop_at.get().map_or(job.give_up, |it| job.give_up.min(it));
+        let terms = Terms { arrived: job.arrived, goal: route.goal, give_up, call: job.is_call() };
+        begin_by(terms, self.ingress.borrow().pace.mean(&route.name))
     }
 
     /// The endpoints that may do the work, as they are known now.
