--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -68,6 +68,8 @@
     pub(super) settings: bool,
     /// The file holds a proxy's settings
     pub(super) proxy: bool,
+    /// The file holds the configuration that the operator writes to the users' platform
+    pub(super) config: bool,
     /// The file to check
     #[bpaf(positional("FILE"))]
     pub(super) file: PathBuf,
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,8 +1,11 @@
 //! `jayreach check`
 
+use std::{fs, path::Path};
+
 use crate::{
     cmd::{Run, args, read_targets},
-    error::Error,
+    error::{Error, Findings, Place},
+    platform::{ConfigFinding, parse_config},
     proxy,
     settings::Settings,
 };
@@ -14,6 +17,9 @@
             println!("{}: good settings for the proxy {}", self.file.display(), settings.name);
             return Ok(());
         }
+        if self.config {
+            return check_config(&self.file);
+        }
         if self.settings {
             let settings = Settings::load(&self.file)?;
             println!("{}: good settings for {}", self.file.display(), settings.name);
@@ -31,3 +37,36 @@
         Ok(())
     }
 }
+
+/// Tells what proxies will make of a configuration of the users' platform.
+fn check_config(file: &Path) -> Result<(), Error> {
+    let name = file.display().to_string();
+    let text = fs::read_to_string(file).map_err(|it| Error::io(format!("reading {name}"), it))?;
+    let mut findings = Findings::default();
+    match parse_config(&text) {
+        Ok(parsed) if parsed.findings.is_empty() => {
+            println!(
+                "{name}: a good configuration: version {}, {} routes",
+                parsed.config.version,
+                parsed.config.routes().len()
+            );
+            return Ok(());
+        }
+        Ok(parsed) => {
+            for it in &parsed.findings {
+                findings.push(place_of(&name, &text, it), it.to_string());
+            }
+        }
+        Err(error) => {
+            let place = Place { file: name.into(), line: error.line(), column: error.column() };
+            findings.push(place, format!("no configuration: {error}"));
+        }
+    }
+    Err(Error::Findings(findings.sorted()))
+}
+
+/// Where the part that a finding names begins.
+fn place_of(file: &str, text: &str, finding: &ConfigFinding) -> Place {
+    let part = finding.place.split('.').nth(1).unwrap_or(&finding.place);
+    Place::at(file, text, text.find(&format!("\"{part}\"")).unwrap_or(0))
+}
