What is known of an endpoint stands together in a Choice; tests of stopping in a file of their own

Change: one list of Reachable; the seven tests of stops, kills and restarts moved to stopping.rs with their fixtures in standins/src/platform/desk.rs.

--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -22,7 +22,7 @@
         events::Event,
         message::{Grant, Refusal, Reserve, Reserved, path},
         peer::LinkError,
-        view::EndpointRow,
+        view::{EndpointRow, Row},
     },
 };
 
@@ -37,13 +37,19 @@
 /// silence looks like a queue.
 const ONE_MORE_WISH: Duration = Duration::from_millis(120);
 
+/// An endpoint that may do a piece of work.
+struct Reachable {
+    guard: Guarded,
+    /// What is known of it.
+    candidate: Candidate,
+    /// How long ago its load was told.
+    told_ago: Duration,
+}
+
 /// The endpoints that may do a piece of work, and the order in which their guards are asked.
 struct Choice {
-    guards: Vec<Guarded>,
-    /// One for each guard.
-    candidates: Vec<Candidate>,
-    /// How old the load of each candidate was.
-    ages: Vec<Duration>,
+    endpoints: Vec<Reachable>,
+    /// By place in `endpoints`.
     order: Order,
 }
 
@@ -62,7 +68,7 @@
         let patience = self.patience(job);
         for _ in 0..LOOKS {
             let choice = self.choice(job, tried);
-            if choice.guards.is_empty() {
+            if choice.endpoints.is_empty() {
                 return Err(NoPlace::NoEndpoint);
             }
             let left = patience.saturating_duration_since(clock::now());
@@ -85,46 +91,46 @@
 
     /// The endpoints that may do the work, as they are known now.
     fn choice(&self, job: &Job, tried: &[EndpointId]) -> Choice {
-        let now = clock::now();
-        let settings = self.settings.borrow();
+        let fits = |it: &EndpointRow| it.service == job.service && !tried.contains(&it.id);
+        let here = self.guard.row().filter(fits).map(|it| self.reachable_here(&it));
         let view = self.view.borrow();
-        let links = self.links.borrow();
-        let fits = |it: &&EndpointRow| it.service == job.service && !tried.contains(&it.id);
-        let mut guards = Vec::new();
-        let mut candidates = Vec::new();
-        let mut ages = Vec::new();
-        if let Some(it) = self.guard.row().as_ref().filter(fits) {
-            let (running, waiting) = self.guard.load();
-            guards.push(Guarded::Here);
-            ages.push(Duration::ZERO);
-            candidates.push(Candidate {
-                near: true,
-                standing: it.standing,
-                path_rests: false,
-                load: running + waiting,
-                slots: it.slots,
-            });
-        }
-        for row in view.rows() {
-            let Some(it) = row.endpoint.as_ref().filter(fits) else { continue };
-            let Ok(at) = links.binary_search_by(|it| it.0.cmp(&row.name)) else { continue };
-            let link = &links[at].1;
-            // A lost VM stays in the view for a while; asking it says nothing new.
-            if !link.is_connected() {
-                continue;
-            }
-            guards.push(Guarded::There(row.name.clone(), Rc::clone(link)));
-            ages.push(link.told_ago(now));
-            candidates.push(Candidate {
-                near: row.data_centre == settings.data_centre,
-                standing: it.standing,
-                path_rests: link.rests(now),
-                load: link.load(now),
-                slots: it.slots,
-            });
-        }
+        let there = view.rows().iter().filter_map(|row| {
+            let endpoint = row.endpoint.as_ref().filter(|it| fits(it))?;
+            self.reachable_there(row, endpoint)
+        });
+        let endpoints: Vec<Reachable> = here.into_iter().chain(there).collect();
+        let candidates: Vec<Candidate> = endpoints.iter().map(|it| it.candidate).collect();
         let order = order(&candidates, Self::may_be_trial(job), &mut rand::rng());
-        Choice { guards, candidates, ages, order }
+        Choice { endpoints, order }
+    }
+
+    /// This VM's endpoint.
+    fn reachable_here(&self, endpoint: &EndpointRow) -> Reachable {
+        let (running, waiting) = self.guard.load();
+        let candidate = Candidate {
+            near: true,
+            standing: endpoint.standing,
+            path_rests: false,
+            load: running + waiting,
+            slots: endpoint.slots,
+        };
+        Reachable { guard: Guarded::Here, candidate, told_ago: Duration::ZERO }
+    }
+
+    /// Another VM's endpoint, if there is a connection: a lost VM stays in the view for a while, and asking it says
+    /// nothing new.
+    fn reachable_there(&self, row: &Row, endpoint: &EndpointRow) -> Option<Reachable> {
+        let now = clock::now();
+        let link = self.link(&row.name).filter(|it| it.is_connected())?;
+        let candidate = Candidate {
+            near: row.data_centre == self.settings.borrow().data_centre,
+            standing: endpoint.standing,
+            path_rests: link.rests(now),
+            load: link.load(now),
+            slots: endpoint.slots,
+        };
+        let told_ago = link.told_ago(now);
+        Some(Reachable { guard: Guarded::There(row.name.clone(), link), candidate, told_ago })
     }
 
     fn may_be_trial(job: &Job) -> bool {
@@ -144,7 +150,13 @@
                 && let Some(at) = rest.next()
             {
                 job.asked.set(job.asked.get() + 1);
-                wishes.push(Box::pin(self.wish(job, &choice.guards[*at], *at, choice.order.accepts, patience)));
+                wishes.push(Box::pin(self.wish(
+                    job,
+                    &choice.endpoints[*at].guard,
+                    *at,
+                    choice.order.accepts,
+                    patience,
+                )));
             }
             let pause = if wishes.len() < held { ASK_ANOTHER_AFTER } else { ONE_MORE_WISH };
             let another = tokio::time::Instant::now() + pause;
@@ -152,7 +164,7 @@
             tokio::select! {
                 done = wishes.next() => {
                     let (at, result) = done?;
-                    let guard = &choice.guards[at];
+                    let guard = &choice.endpoints[at].guard;
                     let waited = clock::now().saturating_duration_since(start);
                     match result {
                         Ok(grant) => {
@@ -176,7 +188,7 @@
 
     /// Writes down a place with what was known when its guard was asked.
     fn tell_placed(&self, job: &Job, choice: &Choice, at: usize, grant: &Grant, asked: u32, waited: Duration) {
-        let (guard, candidate) = (&choice.guards[at], &choice.candidates[at]);
+        let Reachable { guard, candidate, told_ago } = &choice.endpoints[at];
         self.events.emit(&Event::Placed {
             request: &job.request,
             guard: guard.name(self),
@@ -184,11 +196,11 @@
             attempt: job.attempts.get() + 1,
             waited_ms: waited.as_millis(),
             asked,
-            of: choice.guards.len(),
+            of: choice.endpoints.len(),
             load: candidate.load,
             slots: candidate.slots,
             standing: candidate.standing,
-            told_ms_ago: choice.ages[at].as_millis(),
+            told_ms_ago: told_ago.as_millis(),
         });
     }
 
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! real proxies as separate processes between them.
 
 pub mod caller;
+pub mod desk;
 pub mod endpoint;
 pub mod http;
 pub mod site;
--- /dev/null
+++ b/standins/tests/stopping.rs
@@ -0,0 +1,140 @@
+//! Proxies that stop, are killed and start again: what callers and endpoints see.
+
+use std::{
+    io::BufReader,
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use standins::platform::{
+    desk::{arrivals, ask, call, cause, runs, set_modes, site},
+    endpoint::EndpointMode,
+    http,
+    site::{Proxy, Site, eventually},
+};
+
+/// Sends requests one after the other until told otherwise; returns how each ended.
+fn keep_asking(proxy: &Proxy, line: &str, stop: Instant) -> Vec<Result<u16, std::io::ErrorKind>> {
+    let mut ends = Vec::new();
+    while Instant::now() < stop {
+        let request = format!("{line}-{}", ends.len());
+        ends.push(
+            call(line, &request.replace(' ', "")).answer(proxy.callers).map(|it| it.status()).map_err(|it| it.kind()),
+        );
+    }
+    ends
+}
+
+#[test]
+fn a_stop_cuts_nothing_that_was_taken() {
+    let mut site = site();
+    let stop = Instant::now() + Duration::from_millis(2_500);
+
+    let ends = thread::scope(|scope| {
+        let asking = scope.spawn(|| keep_asking(&site.proxies[2], "POST /write/x", stop));
+        thread::sleep(Duration::from_millis(300));
+        site.proxies[0].signal(Signal::TERM);
+        asking.join().expect("a caller")
+    });
+
+    assert!(ends.iter().all(|it| *it == Ok(200)), "{ends:?}");
+    assert!(site.proxies[0].ends(), "the process ends by itself");
+    assert!(!site.proxies[0].is_ready());
+}
+
+#[test]
+fn a_stopping_guard_goes_on_with_what_is_sure_to_end() {
+    let mut site = site();
+    for at in 0..12 {
+        assert_eq!(ask(&site, "GET /read/x", &format!("r-first-{at}")).status(), 200);
+    }
+    let at_stopping = |site: &Site| site.proxies[0].endpoint.arrivals().len();
+
+    site.proxies[0].signal(Signal::TERM);
+    assert!(eventually(|| !site.proxies[0].is_ready()));
+    let before = at_stopping(&site);
+    let ends: Vec<u16> = (0..16).map(|at| ask(&site, "GET /read/x", &format!("r-{at}")).status()).collect();
+    let taken = at_stopping(&site) - before;
+    assert!(site.proxies[0].ends(), "the process ends by itself");
+
+    assert!(ends.iter().all(|it| *it == 200), "{ends:?}");
+    assert!(taken > 0, "its endpoint lives on and has room");
+    assert!(site.proxies[0].endpoint.arrivals().iter().all(|it| !it.cut_off));
+}
+
+#[test]
+fn a_stopping_ingress_answers_what_it_holds() {
+    let site = site();
+    set_modes(&site, EndpointMode::Hangs);
+    let stream = call("GET /read/x", "r-1").send(site.proxies[2].callers).expect("a connection");
+    assert!(eventually(|| arrivals(&site, "r-1").len() == 1));
+
+    site.proxies[2].signal(Signal::TERM);
+    let answer = http::read(&mut BufReader::new(stream)).expect("an answer").expect("not just an end");
+
+    assert!(matches!(answer.status(), 502 | 504), "it may have run: {answer:?}");
+}
+
+#[test]
+fn a_stopping_ingress_refuses_at_once_what_it_could_not_finish() {
+    let site = site();
+    set_modes(&site, EndpointMode::Hangs);
+    let held = call("GET /read/x", "r-held").send(site.proxies[2].callers).expect("a connection");
+    assert!(eventually(|| arrivals(&site, "r-held").len() == 1));
+    site.proxies[2].signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(1_600));
+    let start = Instant::now();
+
+    let answer = ask(&site, "GET /read/x", "r-late");
+
+    drop(held);
+    assert_eq!(answer.status(), 503, "{answer:?}");
+    assert!(start.elapsed() < Duration::from_millis(300), "{:?}", start.elapsed());
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(arrivals(&site, "r-late").is_empty());
+}
+
+#[test]
+fn a_second_sigterm_grants_the_whole_grace_anew() {
+    let site = site();
+    set_modes(&site, EndpointMode::Hangs);
+    site.proxies[2].signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(1_000));
+    let stream = call("GET /read/x", "r-1").send(site.proxies[2].callers).expect("a connection");
+    thread::sleep(Duration::from_millis(800));
+
+    site.proxies[2].signal(Signal::TERM);
+    let answer = http::read(&mut BufReader::new(stream)).expect("an answer").expect("not just an end");
+
+    let stopping: Vec<_> = site.proxies[2].events().into_iter().filter(|it| it["event"] == "stopping").collect();
+    let cause = cause(&site, "r-1");
+    assert_eq!(answer.status(), 504, "the route's timeout ends it, not the first grace: {cause} {stopping:?}");
+}
+
+#[test]
+fn a_guard_that_is_killed_leaves_no_false_promise() {
+    let mut site = site();
+    set_modes(&site, EndpointMode::Hangs);
+    let stream = call("POST /write/x", "r-1").send(site.proxies[2].callers).expect("a connection");
+    assert!(eventually(|| arrivals(&site, "r-1").len() == 1));
+
+    for it in &mut site.proxies[..2] {
+        it.kill();
+    }
+    let answer = http::read(&mut BufReader::new(stream)).expect("an answer").expect("not just an end");
+
+    assert!(matches!(answer.status(), 502 | 504), "{answer:?}");
+    assert_eq!(runs(&site, "r-1"), 1);
+}
+
+#[test]
+fn a_guard_that_restarts_beside_a_living_endpoint_finds_it() {
+    let mut site = site();
+    site.proxies[0].silence_endpoint();
+
+    site.proxies[0].restart().expect("a proxy");
+
+    let found = eventually(|| site.proxies[0].status()["row"]["endpoint"]["id"]["name"] == "i-1");
+    assert!(found, "its health path tells which incarnation it is");
+}
