What the guard knows of calls in a file of its own; admission to the queue is one function

Cause: guard/mod.rs mixed calls, routes and lives; reserve looked the endpoint up twice. Change: src/proxy/guard/calls.rs; State::admit. No behaviour changed.

--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -1,6 +1,7 @@
 //! The only way to the VM's endpoint: places, the queue, and what became of each place.
 
 mod announced;
+mod calls;
 pub mod ledger;
 mod places;
 mod runs;
@@ -18,7 +19,7 @@
     decide::{
         allowance::{Allowance, Terms},
         life::EndpointId,
-        origin::{Origin, Origins, Work},
+        origin::Origins,
         pace::Pace,
         slot_time::{Occupancy, SlotTime, Use},
         suspicion::Record,
@@ -28,8 +29,8 @@
         clock,
         endpoint::EndpointPool,
         events::Events,
-        guard::ledger::{FailedCall, Given, Ledger, Running},
-        message::{Grant, GrantId, Refusal},
+        guard::ledger::{FailedCall, Given, Ledger},
+        message::{Grant, Refusal},
         routes::{RouteName, ServiceName},
         view::{EndpointRow, Incarnation},
     },
@@ -110,8 +111,6 @@
 
 /// An endpoint that warms up works at about half its speed.
 const COLD_PART: u32 = 2;
-/// How much work that may go on is remembered; far above what an endpoint works on at once.
-const LINGERING_KEPT: usize = 256;
 
 type PlaceSender = oneshot::Sender<Result<Grant, Refusal>>;
 
@@ -126,7 +125,7 @@
     pace: Pace,
     allowance: Allowance,
     /// Work that ended without the endpoint's answer: it may go on, and call, until its time is over. At most
-    /// `LINGERING_KEPT`.
+    /// `calls::LINGERING_KEPT`.
     lingering: Vec<Given>,
     /// Tells calls from callers' requests.
     origins: Origins,
@@ -157,14 +156,6 @@
         });
         self.slot_time.step(next, now);
     }
-
-    /// Remembers work that may go on at the endpoint.
-    fn keep_lingering(&mut self, given: Given, now: Instant) {
-        self.lingering.retain(|it| it.running.as_ref().is_some_and(|it| now < it.until));
-        if self.lingering.len() < LINGERING_KEPT {
-            self.lingering.push(given);
-        }
-    }
 }
 
 /// The guard of this VM's endpoint.
@@ -226,67 +217,11 @@
         (count(state.ledger.len()), count(state.queue.len()))
     }
 
-    /// Where a request of this VM of the class `route`, for `service`, began that expires at `until`.
-    pub fn origin(&self, route: &str, service: &str, until: Instant) -> Origin {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let State { ledger, lingering, origins, calls, .. } = &mut *state;
-        let running = ledger.running();
-        let gone_on = lingering.iter().filter_map(Given::as_running).filter(|it| now < it.2.until);
-        let work = |(id, route, it): (GrantId, _, &Running)| Work {
-            id,
-            route,
-            until: it.until,
-            repeat_share: it.repeat_share,
-        };
-        let works: Vec<Work<'_>> = running.chain(gone_on).map(work).collect();
-        let origin = origins.judge(route, until, &works);
-        if let Origin::Call { parents, .. } = &origin {
-            let mut routes = works.iter().filter(|it| parents.contains(&it.id)).map(|it| it.route);
-            // Only where it is certain which class called.
-            if let Some(caller) = routes.next().filter(|it| routes.all(|other| other == *it)) {
-                note_call(calls, caller, service);
-            }
-        }
-        origin
-    }
-
-    /// Whether callers use `route`, as far as its requests for places here say.
-    pub fn is_callers_route(&self, route: &str) -> Option<bool> {
-        self.state.borrow().origins.says(route)
-    }
-
-    /// Takes in whether callers use `route`, as a guard of its service says.
-    pub fn tell_callers_route(&self, route: &str, is_callers: bool) {
-        self.state.borrow_mut().origins.tell(route, is_callers);
-    }
-
-    /// Forgets routes that `keep` does not name.
-    pub fn retain_routes(&self, keep: impl Fn(&str) -> bool) {
-        let mut state = self.state.borrow_mut();
-        state.origins.retain(&keep);
-        state.pace.retain(&keep);
-        state.calls.retain(|it| keep(&it.0));
-    }
-
-    /// Whether work of `route` called a service here for which `tight` holds.
-    pub fn calls_any(&self, route: &str, tight: impl Fn(&str) -> bool) -> bool {
-        self.state.borrow().calls.iter().any(|it| *it.0 == *route && tight(&it.1))
-    }
-
     /// Whether no repeat may arrive now.
     pub fn allowance_used(&self) -> bool {
         !self.state.borrow().allowance.allows(true)
     }
 
-    /// A call of one of `parents`, which run here, was not answered well.
-    pub fn call_failed(&self, parents: &[GrantId]) {
-        let mut state = self.state.borrow_mut();
-        state.last_failed_call += 1;
-        let call = state.last_failed_call;
-        state.ledger.call_failed(call, parents);
-    }
-
     /// How many runs are under way.
     pub fn running(&self) -> usize {
         self.state.borrow().ledger.len()
@@ -306,13 +241,6 @@
     }
 }
 
-/// Writes down that work of the class `route` calls `service`.
-fn note_call(calls: &mut Vec<(RouteName, ServiceName)>, route: &str, service: &str) {
-    if let Err(at) = calls.binary_search_by(|it| (&*it.0, &*it.1).cmp(&(route, service))) {
-        calls.insert(at, (route.into(), service.into()));
-    }
-}
-
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -7,7 +7,7 @@
 
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
-use super::{EndpointPhase, Guard, State, Surroundings, count, ledger::Purpose};
+use super::{EndpointPhase, Guard, PlaceSender, State, Surroundings, count, ledger::Purpose};
 use crate::{
     decide::{
         pace::Pace,
@@ -27,45 +27,8 @@
 impl Guard {
     /// Waits for a place. Dropping the future takes the wish, or the place, back.
     pub async fn reserve(self: &Rc<Self>, req: &Reserve, known: Surroundings) -> Result<Grant, Refusal> {
-        let now = clock::now();
         let (tx, rx) = oneshot::channel();
-        let id = {
-            let mut state = self.state.borrow_mut();
-            let Some(endpoint) = &state.endpoint else { return Err(Refusal::Elsewhere) };
-            let announced = &endpoint.announced;
-            let leaves = announced.phase == EndpointPhase::Leaving || !fits(state.ends, &state.pace, &req.route, now);
-            if announced.service != req.service || leaves {
-                return Err(Refusal::Elsewhere);
-            }
-            state.origins.count(&req.route, req.certain_caller);
-            let call = state.origins.says(&req.route).map_or(req.call, |is_callers| req.call && !is_callers);
-            let Some(endpoint) = &state.endpoint else { return Err(Refusal::Elsewhere) };
-            if !endpoint.record.admits(req.accepts, req.trial, count(state.ledger.trials()), now) {
-                return Err(Refusal::Suspect);
-            }
-            state.allowance.share_with(known.guards);
-            let allowed = !known.calls_tight && state.allowance.allows(call);
-            if req.arrival == Arrival::Repeat && !allowed {
-                return Err(Refusal::NoAllowance);
-            }
-            state.last_waiter += 1;
-            let id = state.last_waiter;
-            state.queue.push(Waiter {
-                id,
-                call,
-                rank: req.rank,
-                idempotent: req.idempotent,
-                trial: req.trial,
-                accepts: req.accepts,
-                arrived: now,
-                useful_until: now + req.useful_for,
-                needs_allowance: req.arrival == Arrival::Repeat,
-                repeat_share: req.arrival.repeat_share(),
-                route: req.route.clone(),
-            });
-            state.senders.push((id, tx));
-            id
-        };
+        let id = self.state.borrow_mut().admit(req, known, tx, clock::now())?;
         let mut wish = Wish { guard: self, id, rx };
         self.pump();
         (&mut wish.rx).await.unwrap_or(Err(Refusal::Elsewhere))
@@ -102,6 +65,49 @@
 }
 
 impl State {
+    /// Adds a wish to the queue, unless this is no place for it.
+    fn admit(
+        &mut self,
+        req: &Reserve,
+        known: Surroundings,
+        tx: PlaceSender,
+        now: Instant,
+    ) -> Result<WaiterId, Refusal> {
+        let endpoint = self.endpoint.as_ref().ok_or(Refusal::Elsewhere)?;
+        let leaves = endpoint.announced.phase == EndpointPhase::Leaving;
+        if endpoint.announced.service != req.service || leaves || !fits(self.ends, &self.pace, &req.route, now) {
+            return Err(Refusal::Elsewhere);
+        }
+        self.origins.count(&req.route, req.certain_caller);
+        if !endpoint.record.admits(req.accepts, req.trial, count(self.ledger.trials()), now) {
+            return Err(Refusal::Suspect);
+        }
+        // The guards of a service know better than an ingress whether callers use a route.
+        let call = req.call && self.origins.says(&req.route) != Some(true);
+        self.allowance.share_with(known.guards);
+        let allowed = !known.calls_tight && self.allowance.allows(call);
+        if req.arrival == Arrival::Repeat && !allowed {
+            return Err(Refusal::NoAllowance);
+        }
+        self.last_waiter += 1;
+        let id = self.last_waiter;
+        self.queue.push(Waiter {
+            id,
+            call,
+            rank: req.rank,
+            idempotent: req.idempotent,
+            trial: req.trial,
+            accepts: req.accepts,
+            arrived: now,
+            useful_until: now + req.useful_for,
+            needs_allowance: req.arrival == Arrival::Repeat,
+            repeat_share: req.arrival.repeat_share(),
+            route: req.route.clone(),
+        });
+        self.senders.push((id, tx));
+        Ok(id)
+    }
+
     /// Offers a free place to the first that may have one.
     fn offer_next(&mut self, now: Instant) -> Option<GrantId> {
         let Self { endpoint, queue, senders, ledger, allowance, pace, ends, .. } = self;
