A place in use is no longer accounted for as offered; a life with an earlier start is still heard

Found by reading the change again. (1) The account of slots was not taken when an offered place began to be used, nor when a standing changed, so the work's time counted twice until the next change of the queue: one request of 1 s gave 1,005 ms answered and 1,005 ms offered. (2) After a clock was set back between two starts, the life that was accepted stood behind its retired predecessor: its later words, draining too, were taken for late. Change: the account is taken at both places; the known life's own announcements are not judged by the retired ones. Tests, failing first: a_place_in_use_is_not_accounted_for_as_offered, a_life_whose_start_seems_earlier_than_a_former_one_is_still_heard.

--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -74,7 +74,8 @@
         // The clock was set back between the two starts.
         return Verdict::Later;
     }
-    if earlier || is_retired(retired, told) {
+    // The known life itself may have followed one whose start seems later.
+    if earlier || (told != known.id && is_retired(retired, told)) {
         return Verdict::Late;
     }
     if told.name == known.id.name {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -88,7 +88,9 @@
             working: purpose.trial.then(|| suspicion::fast_limit(usual).max(WORKING_LEAST)),
             overdue: usual.map_or(OVERDUE_UNKNOWN, |it| it * OVERDUE_FACTOR + OVERDUE_MORE),
         };
-        Some((Rc::clone(&endpoint.pool), purpose.idempotent, stages))
+        let begun = (Rc::clone(&endpoint.pool), purpose.idempotent, stages);
+        state.account(now);
+        Some(begun)
     }
 
     async fn execute(self: Rc<Self>, run: Run, pool: Rc<EndpointPool>, stages: Stages) -> RunEnd {
@@ -161,8 +163,12 @@
     fn sample(self: &Rc<Self>, id: &EndpointId, sample: Sample, begun: Instant, request: &str, why: &str) {
         let mut state = self.state.borrow_mut();
         let Some(endpoint) = state.endpoint.as_mut().filter(|it| it.announced.id == *id) else { return };
-        let turned = endpoint.record.sample(sample, begun, clock::now());
+        let now = clock::now();
+        let turned = endpoint.record.sample(sample, begun, now);
         let standing = endpoint.record.standing();
+        if turned {
+            state.account(now);
+        }
         drop(state);
         if turned {
             self.events.emit(&Event::Standing { endpoint: &id.name, standing, request, why });
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -416,3 +416,29 @@
     assert!(lost.contains("Broken") && lost.contains("It may have run"), "{lost}");
     assert!(refused.contains("No place became free") && refused.contains("It has not run"), "{refused}");
 }
+
+#[test]
+fn a_place_in_use_is_not_accounted_for_as_offered() {
+    const LONG: Duration = Duration::from_millis(1_000);
+    let mut site = Site::start().expect("a store");
+    site.store.put_config(two_routes(1));
+    site.add("desk", "dc-1", 2, LONG).expect("a proxy");
+    assert!(site.wait_for(1), "the proxy knows its endpoint");
+
+    let answer = call("POST /write/x", "r-1").answer(site.proxies[0].callers).expect("an answer");
+    let uses = slot_millis(&site);
+
+    assert_eq!(answer.status(), 200);
+    let sum_of = |name: &str| uses.iter().find(|it| it.0 == name).map_or(0, |it| it.1);
+    assert!(sum_of("answered") >= 900, "{uses:?}");
+    assert!(sum_of("offered") < sum_of("answered") / 2, "{uses:?}");
+}
+
+/// The account of the first proxy's slots.
+fn slot_millis(site: &Site) -> Vec<(String, u64)> {
+    let metrics = Call { line: "GET /metrics", host: "metrics", request: "", deadline: WORK * 100, body: b"" };
+    let answer = metrics.answer(site.proxies[0].metrics).expect("metrics");
+    let text = String::from_utf8(answer.body).expect("text");
+    let lines = text.lines().filter_map(|it| it.strip_prefix("jayreach_slot_milliseconds_total{use=\""));
+    lines.filter_map(|it| it.split_once("\"} ")).map(|it| (it.0.to_owned(), it.1.parse().unwrap_or(0))).collect()
+}
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -44,6 +44,16 @@
     assert_eq!(judge(Some(known(&life, silent_beats)), &[], &told, 1), wanted);
 }
 
+#[test]
+fn a_life_whose_start_seems_earlier_than_a_former_one_is_still_heard() {
+    let life = id("a", 500);
+    let former = [id("a", 1_000)];
+
+    assert_eq!(judge(Some(known(&life, 0.5)), &former, &life, KNOWN_SEQUENCE + 1), Verdict::Same);
+    assert_eq!(judge(Some(known(&life, 0.5)), &former, &life, KNOWN_SEQUENCE), Verdict::Late);
+    assert_eq!(judge(Some(known(&life, 0.5)), &former, &former[0], 99), Verdict::Late);
+}
+
 #[rstest]
 #[case::itself(id("a", 1_000), Verdict::Late)]
 #[case::an_earlier_life(id("a", 900), Verdict::Late)]
