--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,12 +1,13 @@
 //! `jayreach check`
 
-use std::{fs, path::Path};
+use std::path::Path;
 
 use crate::{
     cmd::{Run, args, read_targets},
+    document,
     error::{Error, Findings, Place},
     platform::{ConfigFinding, parse_config},
-    proxy,
+    proxy::{self, routes::Config},
     settings::Settings,
 };
 
@@ -40,29 +41,26 @@
 
 /// Tells what proxies will make of a configuration of the users' platform.
 fn check_config(file: &Path) -> Result<(), Error> {
-    let name = file.display().to_string();
-    let text = fs::read_to_string(file).map_err(|it| Error::io(format!("reading {name}"), it))?;
+    let config = document::load(file, read_config)?;
+    println!("{}: a good configuration: version {}, {} routes", file.display(), config.version, config.routes().len());
+    Ok(())
+}
+
+fn read_config(file: &str, text: &str) -> Result<Config, Findings> {
     let mut findings = Findings::default();
-    match parse_config(&text) {
-        Ok(parsed) if parsed.findings.is_empty() => {
-            println!(
-                "{name}: a good configuration: version {}, {} routes",
-                parsed.config.version,
-                parsed.config.routes().len()
-            );
-            return Ok(());
-        }
+    match parse_config(text) {
+        Ok(parsed) if parsed.findings.is_empty() => return Ok(parsed.config),
         Ok(parsed) => {
             for it in &parsed.findings {
-                findings.push(place_of(&name, &text, it), it.to_string());
+                findings.push(place_of(file, text, it), it.to_string());
             }
         }
         Err(error) => {
-            let place = Place { file: name.into(), line: error.line(), column: error.column() };
+            let place = Place { file: file.into(), line: error.line(), column: error.column() };
             findings.push(place, format!("no configuration: {error}"));
         }
     }
-    Err(Error::Findings(findings.sorted()))
+    Err(findings.sorted())
 }
 
 /// Where the part that a finding names begins.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -158,8 +158,8 @@
         }
         let text = text(&body);
         let page: Page<'_> = serde_json::from_str(&text)?;
-        let objects = page.items.iter().filter_map(|it| serde_json::from_str::<Object<'_>>(it.get()).ok());
-        let ours = objects.into_iter().find(|it| &*it.metadata.name == CONFIG_NAME);
+        let mut objects = page.items.iter().filter_map(|it| serde_json::from_str::<Object<'_>>(it.get()).ok());
+        let ours = objects.find(|it| &*it.metadata.name == CONFIG_NAME);
         Ok(ConfigObject { config: ours.map(|it| parse_config(it.spec.get())), revision: page.at_rev })
     }
 
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -193,7 +193,6 @@
 
 /// Refuses an announcement that can't be used.
 fn skip(proxy: &Proxy, id: &str, why: &str) -> Answer {
-    proxy.events.emit(&Event::EntrySkipped { entry: id, why });
-    metrics::counter!("jayreach_entries_skipped_total", "of" => "announcement").increment(1);
+    proxy.tell_skipped("announcement", id, why);
     answer(StatusCode::BAD_REQUEST, format!("{why}\n"))
 }
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -145,12 +145,12 @@
     /// Accounts for the slots until now; to be called whenever they may be taken otherwise than before.
     fn account(&mut self, now: Instant) {
         let serving = self.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
-        let offered = count(self.ledger.offered().len());
+        let working = count(self.ledger.running().count());
         let next = serving.map_or_else(Occupancy::default, |it| Occupancy {
             slots: it.announced.slots,
             usable: it.usable_slots(now),
-            offered,
-            working: count(self.ledger.len()) - offered,
+            offered: count(self.ledger.len()) - working,
+            working,
             standing: it.record.standing(),
             waiters: !self.queue.is_empty(),
         });
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -168,6 +168,12 @@
         self.guard.retain_routes(keep);
     }
 
+    /// Says that something which another writer left or sent, in the store or as an announcement, can't be used.
+    fn tell_skipped(&self, of: &'static str, entry: &str, why: &str) {
+        self.events.emit(&Event::EntrySkipped { entry, why });
+        metrics::counter!("jayreach_entries_skipped_total", "of" => of).increment(1);
+    }
+
     /// What this proxy says of itself.
     fn row(&self) -> Row {
         let settings = self.settings.borrow();
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -116,8 +116,7 @@
                 Ok(list) => {
                     backoff.answered();
                     for it in &list.skipped {
-                        self.events.emit(&Event::EntrySkipped { entry: &it.name, why: &it.why });
-                        metrics::counter!("jayreach_entries_skipped_total", "of" => "store").increment(1);
+                        self.tell_skipped("store", &it.name, &it.why);
                     }
                     for it in list.presences {
                         self.link_to(&it.name, it.peers);
