--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,8 +16,11 @@
 pub mod place;
 pub mod shares;
 pub mod slot_time;
+pub mod stopping;
+pub mod subset;
 pub mod suspicion;
 pub mod wait_queue;
+pub mod watchers;
 
 pub use admission::{Admission, Arrival, Gate, Release, WaiterId};
 pub use budget::RetryBudget;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -63,6 +63,21 @@
     pub name: Box<str>,
     /// Where other proxies connect to it.
     pub peers: SocketAddr,
+    /// Its data centre; empty in objects of earlier releases, until its proxy says it.
+    #[serde(default)]
+    pub data_centre: Box<str>,
+    /// The service of its VM; empty as above.
+    #[serde(default)]
+    pub service: Box<str>,
+}
+
+/// How new a reading must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// As new as all that was acknowledged.
+    Newest,
+    /// Some seconds old perhaps, at a tenth of the price.
+    MayBeStale,
 }
 
 /// The proxies that said where they are.
@@ -190,14 +205,16 @@
     /// # Errors
     ///
     /// See [`StoreFailure`].
-    pub async fn presences(&self) -> Result<PresenceList, StoreFailure> {
+    pub async fn presences(&self, reading: Reading) -> Result<PresenceList, StoreFailure> {
         let mut list = PresenceList::default();
         let mut after: Option<Box<str>> = None;
         loop {
-            let path = match &after {
-                Some(it) => format!("/objects/{PRESENCE_KIND}?after={it}"),
-                None => format!("/objects/{PRESENCE_KIND}"),
+            let stale = match reading {
+                Reading::Newest => "0",
+                Reading::MayBeStale => "1",
             };
+            let from = after.as_ref().map_or_else(String::new, |it| format!("&after={it}"));
+            let path = format!("/objects/{PRESENCE_KIND}?allow_stale={stale}{from}");
             let (status, body) = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
             if status != StatusCode::OK {
                 return Err(StoreFailure::Refused(status.as_u16()));
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -14,9 +14,12 @@
     platform::{self, AnnounceCall},
     proxy::{
         Proxy, client, clock,
+        directory::Row,
         events::Event,
         guard::{Announced, EndpointPhase, Heard},
-        ingress, net, peers,
+        ingress, net,
+        peer::Link,
+        peers,
         routes::Limits,
         server::{self, Answer, answer, json},
     },
@@ -68,6 +71,8 @@
         spawn_local(Rc::clone(self).follow_config());
         spawn_local(Rc::clone(self).join());
         spawn_local(Rc::clone(self).tell_changes());
+        spawn_local(Rc::clone(self).keep_links());
+        spawn_local(Rc::clone(self).keep_exchanging());
         spawn_local(Rc::clone(self).relay_versions());
         spawn_local(Rc::clone(self).find_endpoint());
         spawn_local(Rc::clone(self).tell_slots());
@@ -77,7 +82,7 @@
     async fn tell_slots(self: Rc<Self>) {
         loop {
             sleep(SLOTS_EVERY).await;
-            let Some(endpoint) = self.guard.row() else { continue };
+            let Some(endpoint) = self.guard.serving() else { continue };
             let uses = self.guard.slot_ms();
             self.events.emit(&Event::Slots { service: &endpoint.service, slots: endpoint.slots, uses: &uses });
         }
@@ -110,12 +115,20 @@
     /// What this proxy knows, as JSON.
     fn status(&self) -> Vec<u8> {
         let (running, waiting) = self.guard.load();
+        let directory = self.directory.borrow();
+        let peers: Vec<_> =
+            directory.members().map(|it| row_status(it.1, self.link(&it.1.daemon).as_deref())).collect();
+        let mut row = row_status(directory.own(), None);
+        row["version"] = self.version().into();
+        if let Some(it) = self.guard.serving() {
+            row["endpoint"]["standing"] = serde_json::json!(it.standing);
+        }
         let status = serde_json::json!({
-            "row": self.row(),
+            "row": row,
             "running": running,
             "waiting": waiting,
             "requests": self.requests.get(),
-            "peers": self.view.borrow().rows(),
+            "peers": peers,
         });
         serde_json::to_vec(&status).expect("what a proxy knows can be coded")
     }
@@ -149,6 +162,24 @@
     }
 }
 
+/// A row with what the link to its owner tells.
+fn row_status(row: &Row, link: Option<&Link>) -> serde_json::Value {
+    let mut status = serde_json::json!({
+        "name": row.daemon,
+        "data_centre": row.data_centre,
+        "peers": row.peers,
+        "service": row.endpoints.service,
+        "endpoint": row.endpoints.endpoint,
+        "linked": link.is_some_and(Link::is_connected),
+    });
+    if let Some(it) = link
+        && row.endpoints.endpoint.is_some()
+    {
+        status["endpoint"]["standing"] = serde_json::json!(it.standing());
+    }
+    status
+}
+
 /// Answers a call of the VM's endpoint.
 async fn announce(proxy: Rc<Proxy>, req: Request<Incoming>) -> Answer {
     let (head, body) = req.into_parts();
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -17,9 +17,9 @@
 use crate::{
     decide::{life::UnixMillis, suspicion::Standing},
     proxy::{
+        directory::ProxyName,
         message::{NotRun, Refusal, Unknown},
         routes::Version,
-        view::ProxyName,
     },
 };
 
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -8,9 +8,9 @@
 use crate::{
     decide::life::EndpointId,
     proxy::{
+        directory::Incarnation,
         message::{Grant, GrantId, NotRun, RunEnd},
         routes::RouteName,
-        view::Incarnation,
     },
 };
 
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -22,17 +22,17 @@
         origin::Origins,
         pace::Pace,
         slot_time::{Occupancy, SlotTime, Use},
-        suspicion::Record,
+        suspicion::{Record, Standing},
         wait_queue::{WaitQueue, WaiterId},
     },
     proxy::{
         clock,
+        directory::{EndpointRow, Incarnation},
         endpoint::EndpointPool,
         events::Events,
         guard::ledger::{FailedCall, Given, Ledger},
         message::{Grant, Refusal},
         routes::{RouteName, ServiceName},
-        view::{EndpointRow, Incarnation},
     },
 };
 
@@ -93,6 +93,19 @@
     Doubtful,
 }
 
+/// An endpoint that takes work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Serving {
+    /// Which life of it.
+    pub id: EndpointId,
+    /// Its service.
+    pub service: ServiceName,
+    /// How much it works on at once.
+    pub slots: u32,
+    /// How far it is trusted.
+    pub standing: Standing,
+}
+
 struct Endpoint {
     announced: Announced,
     pool: Rc<EndpointPool>,
@@ -199,11 +212,11 @@
         }
     }
 
-    /// The endpoint as others see it, while it takes work.
-    pub fn row(&self) -> Option<EndpointRow> {
+    /// The endpoint, while it takes work.
+    pub fn serving(&self) -> Option<Serving> {
         let state = self.state.borrow();
         let it = state.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving)?;
-        Some(EndpointRow {
+        Some(Serving {
             id: it.announced.id.clone(),
             service: it.announced.service.clone(),
             slots: it.announced.slots,
@@ -211,6 +224,11 @@
         })
     }
 
+    /// The endpoint as it stands in this proxy's row.
+    pub fn endpoint_row(&self) -> Option<EndpointRow> {
+        self.serving().map(|it| EndpointRow { id: it.id, slots: it.slots })
+    }
+
     /// Requests at the endpoint or permitted, and requests that wait.
     pub fn load(&self) -> (u32, u32) {
         let state = self.state.borrow();
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -189,7 +189,7 @@
             let (through, found) = if link.is_connected() {
                 (name.into(), link.call_within::<_, RunEnd>(job.left(), path::ASK, &ask).await)
             } else {
-                match self.any_link_but(name) {
+                match self.any_link_but(name, false) {
                     Some((helper, it)) => {
                         let relay = Relay { to: link.address, ask: ask.clone() };
                         (helper, it.call_within::<_, RunEnd>(ASK_TIMEOUT, path::RELAY, &relay).await)
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -23,6 +23,7 @@
     platform,
     proxy::{
         Proxy, client, clock,
+        directory::ProxyName,
         events::{Answered, Event},
         guard::Surroundings,
         headers,
@@ -30,7 +31,6 @@
         peer::Link,
         routes::{Config, Repeat, Route, RouteName, ServiceName},
         server::{Answer, answer},
-        view::{EndpointRow, ProxyName},
     },
 };
 
@@ -153,7 +153,7 @@
     let Some(config) = proxy.config.borrow().clone() else {
         return come_back(rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"), 0);
     };
-    if proxy.takes_until.get().is_some_and(|it| arrived > it) {
+    if proxy.takes_no_more() {
         return come_back(rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0);
     }
     let host = head.headers.get(HOST).and_then(|it| it.to_str().ok()).or(head.uri.host());
@@ -236,7 +236,10 @@
     /// What this proxy knows that bears on a place at its guard.
     pub(super) fn surroundings(&self, req: &Reserve) -> Surroundings {
         let tight = |service: &str| self.allowance_used(service);
-        Surroundings { guards: self.guards_of(&req.service), calls_tight: self.guard.calls_any(&req.route, tight) }
+        Surroundings {
+            guards: self.directory.borrow_mut().guards_of(&req.service),
+            calls_tight: self.guard.calls_any(&req.route, tight),
+        }
     }
 
     /// Whether a guard of `service` told just now that its allowance for repeats is used up.
@@ -258,14 +261,6 @@
         }
     }
 
-    /// How many guards of a service share its allowance, as far as this proxy knows.
-    fn guards_of(&self, service: &str) -> usize {
-        let serves = |it: &EndpointRow| *it.service == *service;
-        let others =
-            self.view.borrow().rows().iter().filter_map(|it| it.endpoint.as_ref()).filter(|it| serves(it)).count();
-        others + usize::from(self.guard.row().as_ref().is_some_and(serves))
-    }
-
     /// The service for the next request of a route.
     fn deal(&self, route: &Route) -> ServiceName {
         if let [only] = &route.clusters[..] {
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -6,7 +6,7 @@
 };
 
 use futures_util::{StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use super::{Guarded, Job, NoPlace, Placed};
 use crate::{
@@ -19,10 +19,11 @@
     },
     proxy::{
         Proxy, clock,
+        directory::{EndpointRow, ProxyName},
         events::Event,
+        guard::Serving,
         message::{Grant, Refusal, Reserve, Reserved, path},
-        peer::LinkError,
-        view::{EndpointRow, Row},
+        peer::{Link, LinkError},
     },
 };
 
@@ -37,6 +38,9 @@
 /// silence looks like a queue.
 const ONE_MORE_WISH: Duration = Duration::from_millis(120);
 
+/// How often it is looked whether a link has opened: a few round trips.
+const OPENING_PAUSE: Duration = Duration::from_millis(15);
+
 /// An endpoint that may do a piece of work.
 struct Reachable {
     guard: Guarded,
@@ -66,8 +70,13 @@
         /// Refusals that were stale news are worth another look; more of them are not.
         const LOOKS: u32 = 3;
         let patience = self.patience(job);
+        self.need(&job.service);
         for _ in 0..LOOKS {
-            let choice = self.choice(job, tried);
+            let mut choice = self.choice(job, tried);
+            while choice.endpoints.is_empty() && clock::now() < patience && self.may_reach_soon(&job.service) {
+                sleep(OPENING_PAUSE).await;
+                choice = self.choice(job, tried);
+            }
             if choice.endpoints.is_empty() {
                 return Err(NoPlace::NoEndpoint);
             }
@@ -84,19 +93,21 @@
     /// Until when waiting for a place makes sense.
     fn patience(&self, job: &Job) -> Instant {
         let route = job.route();
-        let give_up = self.stop_at.get().map_or(job.give_up, |it| job.give_up.min(it));
+        let give_up = self.stop.get().map_or(job.give_up, |it| job.give_up.min(it.last_call()));
         let terms = Terms { arrived: job.arrived, goal: route.goal, give_up, call: job.is_call() };
         begin_by(terms, self.ingress.borrow().pace.mean(&route.name))
     }
 
     /// The endpoints that may do the work, as they are known now.
     fn choice(&self, job: &Job, tried: &[EndpointId]) -> Choice {
-        let fits = |it: &EndpointRow| it.service == job.service && !tried.contains(&it.id);
-        let here = self.guard.row().filter(fits).map(|it| self.reachable_here(&it));
-        let view = self.view.borrow();
-        let there = view.rows().iter().filter_map(|row| {
-            let endpoint = row.endpoint.as_ref().filter(|it| fits(it))?;
-            self.reachable_there(row, endpoint)
+        let here = self.guard.serving().filter(|it| it.service == job.service && !tried.contains(&it.id));
+        let here = here.map(|it| self.reachable_here(&it));
+        let directory = self.directory.borrow();
+        let links = self.links.borrow();
+        let there = links.iter().filter_map(|(name, link)| {
+            let served = &directory.by_key(link.key)?.endpoints;
+            let endpoint = served.endpoint.as_ref().filter(|it| !tried.contains(&it.id))?;
+            (served.service == job.service).then(|| Self::reachable_there(name, link, endpoint))?
         });
         let endpoints: Vec<Reachable> = here.into_iter().chain(there).collect();
         let candidates: Vec<Candidate> = endpoints.iter().map(|it| it.candidate).collect();
@@ -105,7 +116,7 @@
     }
 
     /// This VM's endpoint.
-    fn reachable_here(&self, endpoint: &EndpointRow) -> Reachable {
+    fn reachable_here(&self, endpoint: &Serving) -> Reachable {
         let (running, waiting) = self.guard.load();
         let candidate = Candidate {
             near: true,
@@ -117,20 +128,31 @@
         Reachable { guard: Guarded::Here, candidate, told_ago: Duration::ZERO }
     }
 
-    /// Another VM's endpoint, if there is a connection: a lost VM stays in the view for a while, and asking it says
+    /// Another VM's endpoint, if there is a connection: a lost VM stays in the directory for a while, and asking it says
     /// nothing new.
-    fn reachable_there(&self, row: &Row, endpoint: &EndpointRow) -> Option<Reachable> {
+    fn reachable_there(name: &ProxyName, link: &Rc<Link>, endpoint: &EndpointRow) -> Option<Reachable> {
+        if !link.is_connected() {
+            return None;
+        }
         let now = clock::now();
-        let link = self.link(&row.name).filter(|it| it.is_connected())?;
         let candidate = Candidate {
-            near: row.data_centre == self.settings.borrow().data_centre,
-            standing: endpoint.standing,
+            near: link.near,
+            standing: link.standing(),
             path_rests: link.rests(now),
             load: link.load(now),
             slots: endpoint.slots,
         };
         let told_ago = link.told_ago(now);
-        Some(Reachable { guard: Guarded::There(row.name.clone(), link), candidate, told_ago })
+        Some(Reachable { guard: Guarded::There(name.clone(), Rc::clone(link)), candidate, told_ago })
+    }
+
+    /// Whether a link to one of the service's guards is about to open: this proxy has just started, or has had no request
+    /// for the service for long.
+    fn may_reach_soon(&self, service: &str) -> bool {
+        let now = clock::now();
+        let directory = self.directory.borrow();
+        let serves = |link: &Link| directory.by_key(link.key).is_some_and(|it| *it.endpoints.service == *service);
+        self.links.borrow().iter().any(|it| it.1.is_opening(now) && serves(&it.1))
     }
 
     fn may_be_trial(job: &Job) -> bool {
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -1,107 +1,73 @@
-//! Keeping links to the other proxies open, and each other's rows known.
+//! Links to other proxies: which are kept, and keeping them open.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rand::RngExt as _;
-use tokio::{task::spawn_local, time::sleep};
-
-use crate::proxy::{
-    Proxy, clock,
-    events::Event,
-    message::{Hello, News, path},
-    peer::Link,
-    routes::Config,
-    view::{Brief, Merged, ProxyName, Row, Source},
+use tokio::{
+    select,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    decide::subset::{self, Member},
+    proxy::{
+        Proxy, clock,
+        directory::{ProxyName, Row},
+        events::Event,
+        peer::Link,
+        routes::ServiceName,
+    },
 };
 
 /// The first pause before a peer is tried again, and the longest: a proxy that was restarted while
 /// the store is away learns all it knows from peers that try it.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
-/// A peer that can't be reached for this long is forgotten; one that is back says hello itself.
-const FORGET_AFTER: Duration = Duration::from_secs(40);
-/// Changes of our row are gathered this long.
-const GATHER: Duration = Duration::from_millis(20);
-/// How long a greeting may take.
-const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a whole configuration may take from a peer: half of the time in which it must be in force,
-/// so that another peer can be asked.
-const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
-/// A new version is told to the next peers by name after this: by then those who watch the store
-/// know it themselves.
-const RELAY_AFTER: Duration = Duration::from_millis(300);
-/// How many peers a new version is told to.
-const RELAYS: usize = 2;
-
-impl Proxy {
-    /// Takes in what a peer told with a reply.
-    pub(super) fn take_news(self: &Rc<Self>, news: News) {
-        let News { brief, running, waiting, allowance_used } = news;
-        let service =
-            self.view.borrow().get(&brief.name).and_then(|it| it.endpoint.as_ref()).map(|it| it.service.clone());
-        if let Some(service) = service {
-            self.note_allowance(&service, allowance_used);
-        }
-        if let Some(link) = self.link(&brief.name) {
-            link.told(running + waiting, clock::now());
-        }
-        self.take_brief(&brief);
-    }
-
-    /// Takes in the part of a row that changes often.
-    pub(super) fn take_brief(self: &Rc<Self>, brief: &Brief) {
-        let merged = self.view.borrow_mut().merge_brief(brief);
-        match merged {
-            Merged::Changed => self.events.emit(&Event::Row {
-                peer: &brief.name,
-                sequence: brief.sequence,
-                endpoint: None,
-                service: None,
-                standing: brief.standing,
-            }),
-            Merged::Doubtful => self.ask_row(&brief.name),
-            Merged::Known => (),
-        }
-        if brief.version > self.version() {
-            self.fetch_config(&brief.name);
+/// A peer that can't be reached for this long is held to be down, unless most others can't be reached either.
+const DOWN_AFTER: Duration = Duration::from_secs(40);
+/// A peer that chose this proxy and can't be reached for this long is left alone; one that is back says hello itself.
+const LEFT_ALONE_AFTER: Duration = Duration::from_secs(5);
+/// Whom to link to is chosen anew at least this often, since peers become unreachable without a word,
+const CHOOSE_EVERY: Duration = Duration::from_millis(500);
+/// and at most this often, since a fleet that restarts says much in a second.
+const CHOOSE_PAUSE: Duration = Duration::from_millis(100);
+/// With so many services or fewer, links to all of them are opened ahead of need.
+const ALL_SERVICES: usize = 8;
+/// Beyond that a service's links are kept for this long after its last request.
+const NEEDED_FOR: Duration = Duration::from_secs(300);
+
+/// The services that requests came here for, and when last; sorted.
+#[derive(Debug, Default)]
+pub(super) struct Needs(Vec<(ServiceName, Instant)>);
+
+impl Needs {
+    /// A request for `service` came; whether that is news.
+    fn note(&mut self, service: &str, now: Instant) -> bool {
+        self.0.retain(|it| now.saturating_duration_since(it.1) < NEEDED_FOR);
+        match self.0.binary_search_by(|it| (*it.0).cmp(service)) {
+            Ok(at) => {
+                self.0[at].1 = now;
+                false
+            }
+            Err(at) => {
+                self.0.insert(at, (service.into(), now));
+                true
+            }
         }
     }
 
-    /// Asks a proxy for its row, by telling it this one's.
-    pub(super) fn ask_row(&self, name: &str) {
-        if let Some(it) = self.link(name) {
-            it.greet_fully();
-        }
-    }
-
-    /// Takes in a row, and links to its owner if it is new.
-    pub(super) fn take_row(self: &Rc<Self>, row: Row, source: Source) {
-        if row.name == self.name {
-            return;
-        }
-        let (name, peers, version) = (row.name.clone(), row.peers, row.version);
-        let copy = row.clone();
-        let merged = self.view.borrow_mut().merge(row, source);
-        match merged {
-            Merged::Changed => {
-                self.events.emit(&Event::Row {
-                    peer: &copy.name,
-                    sequence: copy.sequence,
-                    endpoint: copy.endpoint.as_ref().map(|it| &*it.id.name),
-                    service: copy.endpoint.as_ref().map(|it| &*it.service),
-                    standing: copy.standing(),
-                });
-                self.link_to(&name, peers);
-            }
-            // Its own answer settles which run is the newer one.
-            Merged::Doubtful => self.ask_row(&name),
-            Merged::Known => (),
-        }
-        if version > self.version() {
-            self.fetch_config(&name);
-        }
+    fn has(&self, service: &str) -> bool {
+        self.0.binary_search_by(|it| (*it.0).cmp(service)).is_ok()
     }
+}
 
+impl Proxy {
     /// The link to the proxy `name`.
     pub(super) fn link(&self, name: &str) -> Option<Rc<Link>> {
         let links = self.links.borrow();
@@ -109,10 +75,13 @@
         Some(Rc::clone(&links[at].1))
     }
 
-    /// A link that is connected, to any proxy but `name`.
-    pub(super) fn any_link_but(&self, name: &str) -> Option<(ProxyName, Rc<Link>)> {
+    /// A link that is connected, to any proxy but `name`; one in this data centre if `near` and there is one.
+    pub(super) fn any_link_but(&self, name: &str, near: bool) -> Option<(ProxyName, Rc<Link>)> {
         let links = self.links.borrow();
-        let connected: Vec<_> = links.iter().filter(|it| *it.0 != *name && it.1.is_connected()).collect();
+        let mut connected: Vec<_> = links.iter().filter(|it| *it.0 != *name && it.1.is_connected()).collect();
+        if near && connected.iter().any(|it| it.1.near) {
+            connected.retain(|it| it.1.near);
+        }
         if connected.is_empty() {
             return None;
         }
@@ -120,26 +89,94 @@
         Some((name.clone(), Rc::clone(link)))
     }
 
-    /// Links to a proxy; one that moved is linked anew.
-    pub(super) fn link_to(self: &Rc<Self>, name: &ProxyName, address: SocketAddr) {
-        if *name == self.name {
-            return;
+    /// A request for `service` is to be placed: links to its guards are opened if there are none yet.
+    pub(super) fn need(self: &Rc<Self>, service: &str) {
+        if self.needs.borrow_mut().note(service, clock::now()) && self.directory.borrow_mut().services() > ALL_SERVICES
+        {
+            self.choose_links();
+        }
+    }
+
+    /// Chooses whom to link to, whenever that may have changed.
+    pub(super) async fn keep_links(self: Rc<Self>) {
+        loop {
+            self.choose_links();
+            sleep(CHOOSE_PAUSE).await;
+            // A timeout is as good a reason.
+            _ = timeout(CHOOSE_EVERY, self.members_changed.notified()).await;
+        }
+    }
+
+    /// Opens links to those chosen, and closes those that neither side needs.
+    pub(super) fn choose_links(self: &Rc<Self>) {
+        let now = clock::now();
+        let chosen = self.chosen(now);
+        for row in &chosen {
+            self.link_to(row).chosen.set(true);
+        }
+        for (name, link) in self.links.borrow().iter() {
+            let stays = chosen.binary_search_by(|it| it.daemon.cmp(name)).is_ok();
+            if link.chosen.get() && !stays {
+                link.chosen.set(false);
+                link.greet_fully();
+            }
+            if link.wanted.get() && link.down_for(now) > LEFT_ALONE_AFTER {
+                link.wanted.set(false);
+            }
         }
+        self.links.borrow_mut().retain(|it| !it.1.is_needless());
+    }
+
+    /// The rows of those to link to, sorted by name.
+    fn chosen(&self, now: Instant) -> Vec<Arc<Row>> {
+        let mut directory = self.directory.borrow_mut();
+        let all = directory.services() <= ALL_SERVICES;
+        let needs = self.needs.borrow();
+        let rows: Vec<_> = directory.members().filter(|it| all || needs.has(&it.1.endpoints.service)).collect();
+        let own = directory.own();
+        let links = self.links.borrow();
+        let unreachable = |row: &Row| {
+            let at = links.binary_search_by(|it| it.0.cmp(&row.daemon)).ok();
+            at.is_some_and(|at| !links[at].1.is_reachable(now))
+        };
+        let members: Vec<Member<'_>> = rows
+            .iter()
+            .map(|(key, row)| Member {
+                key: *key,
+                service: &row.endpoints.service,
+                near: row.data_centre == own.data_centre,
+                reachable: !unreachable(row),
+            })
+            .collect();
+        let chosen = subset::choose(directory.own_key(), &members);
+        let mut chosen: Vec<Arc<Row>> = chosen.into_iter().map(|at| Arc::clone(rows[at].1)).collect();
+        chosen.sort_unstable_by(|a, b| a.daemon.cmp(&b.daemon));
+        chosen
+    }
+
+    /// The link to a row's owner, opened if there is none; one that moved is linked anew.
+    pub(super) fn link_to(self: &Rc<Self>, row: &Row) -> Rc<Link> {
         let mut links = self.links.borrow_mut();
-        let link = Rc::new(Link::new(address));
-        match links.binary_search_by(|it| it.0.cmp(name)) {
-            Ok(at) if links[at].1.address == address => return,
+        let found = links.binary_search_by(|it| it.0.cmp(&row.daemon));
+        if let Ok(at) = found
+            && links[at].1.address == row.peers
+        {
+            return Rc::clone(&links[at].1);
+        }
+        let near = row.data_centre == self.settings.borrow().data_centre;
+        let link = Rc::new(Link::new(row, near));
+        match found {
             Ok(at) => links[at].1 = Rc::clone(&link),
-            Err(at) => links.insert(at, (name.clone(), Rc::clone(&link))),
+            Err(at) => links.insert(at, (row.daemon.clone(), Rc::clone(&link))),
         }
         drop(links);
-        spawn_local(Rc::clone(self).keep_link(name.clone(), link));
+        spawn_local(Rc::clone(self).keep_link(row.daemon.clone(), Rc::clone(&link)));
+        link
     }
 
-    /// Keeps a link open until its proxy is forgotten.
+    /// Keeps a link open until nobody needs it.
     async fn keep_link(self: Rc<Self>, name: ProxyName, link: Rc<Link>) {
         let mut pause = FIRST_PAUSE;
-        let mut failing_since = clock::now();
         let was_up = Cell::new(false);
         while self.is_current(&name, &link) {
             match link.connect().await {
@@ -147,12 +184,12 @@
                     if !was_up.replace(true) {
                         self.events.emit(&Event::Peer { peer: &name, reachable: true, why: "connected" });
                     }
-                    tokio::select! {
+                    select! {
                         () = self.keep_greeting(&link) => (),
                         () = connected.ended() => (),
+                        () = self.needless(&name, &link) => (),
                     }
                     pause = FIRST_PAUSE;
-                    failing_since = clock::now();
                 }
                 Err(error) => {
                     if was_up.replace(false) {
@@ -162,9 +199,8 @@
                     pause = (pause * 2).min(LONGEST_PAUSE);
                 }
             }
-            if clock::now().saturating_duration_since(failing_since) > FORGET_AFTER {
-                self.forget(&name, &link);
-                return;
+            if link.down_for(clock::now()) > DOWN_AFTER {
+                self.hold_down(&name);
             }
             sleep(pause.mul_f64(rand::rng().random_range(0.7..1.3))).await;
         }
@@ -174,74 +210,30 @@
         self.link(name).is_some_and(|it| Rc::ptr_eq(&it, link))
     }
 
-    fn forget(&self, name: &str, link: &Rc<Link>) {
-        self.events.emit(&Event::Peer { peer: name, reachable: false, why: "forgotten" });
-        self.links.borrow_mut().retain(|it| !Rc::ptr_eq(&it.1, link));
-        self.view.borrow_mut().remove(name);
-    }
-
-    /// Says hello at once, and whenever there is something new to say.
-    async fn keep_greeting(self: &Rc<Self>, link: &Rc<Link>) {
-        link.greet_fully();
-        loop {
-            let fully = link.greeting().await;
-            sleep(GATHER).await;
-            if fully {
-                let hello = Hello { row: self.row() };
-                if let Some(it) = link.call_within::<_, Hello>(HELLO_TIMEOUT, path::HELLO, &hello).await {
-                    self.take_row(it.row, Source::Answered);
-                }
-            } else {
-                let brief = self.row().brief();
-                // What is lost here is told with the next reply, or the next hello.
-                _ = link.call_within::<_, ()>(HELLO_TIMEOUT, path::BRIEF, &brief).await;
-            }
+    /// Waits until the link is no longer one of this proxy's.
+    async fn needless(&self, name: &str, link: &Rc<Link>) {
+        while self.is_current(name, link) {
+            sleep(CHOOSE_EVERY).await;
         }
     }
 
-    /// Tells every peer when this proxy's row changes.
-    pub(super) async fn tell_changes(self: Rc<Self>) {
-        loop {
-            tokio::select! {
-                () = self.guard.changed.notified() => {
-                    self.sequence.set(self.sequence.get() + 1);
-                    self.links.borrow().iter().for_each(|it| it.1.greet_fully());
-                }
-                () = self.guard.turned.notified() => {
-                    self.turns.set(self.turns.get() + 1);
-                    self.links.borrow().iter().for_each(|it| it.1.greet_briefly());
-                }
-            }
+    /// Holds a proxy to be down that can't be reached for long, and tells so; if it lives, it hears of that and refutes it.
+    fn hold_down(&self, name: &str) {
+        let (up, all) = self.links_up();
+        if up * 2 < all {
+            // It is this proxy that is cut off.
+            return;
         }
-    }
-
-    /// Tells a few peers of each new version, in case they can't reach the store.
-    pub(super) async fn relay_versions(self: Rc<Self>) {
-        loop {
-            self.config_changed.notified().await;
-            sleep(RELAY_AFTER).await;
-            let links = self.links.borrow();
-            let next = links.partition_point(|it| it.0 < self.name);
-            for (_, link) in links.iter().cycle().skip(next).take(RELAYS.min(links.len())) {
-                link.greet_fully();
-            }
+        let mut directory = self.directory.borrow_mut();
+        let Some(tried) = directory.get(name).map(|it| it.stamp) else { return };
+        if directory.mark_down(name, tried, clock::now()) {
+            self.events.emit(&Event::Peer { peer: name, reachable: false, why: "held to be down" });
         }
     }
 
-    /// Fetches the configuration from a peer that has a newer one.
-    fn fetch_config(self: &Rc<Self>, name: &str) {
-        let Some(link) = self.link(name) else { return };
-        // Many messages tell of a new version; one fetch is enough.
-        if self.fetching.replace(true) {
-            return;
-        }
-        let proxy = Rc::clone(self);
-        spawn_local(async move {
-            let known = proxy.version();
-            if let Some(Some(it)) = link.call_within::<_, Option<Config>>(CONFIG_TIMEOUT, path::CONFIG, &known).await {
-                proxy.put_in_force(it, "peer");
-            }
-            proxy.fetching.set(false);
-        });
+    /// How many links are connected, of how many.
+    fn links_up(&self) -> (usize, usize) {
+        let links = self.links.borrow();
+        (links.iter().filter(|it| it.1.is_connected()).count(), links.len())
     }
 }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -12,8 +12,8 @@
 use crate::{
     decide::{life::EndpointId, suspicion::Standing},
     proxy::{
+        directory::{Brief, Current, Incarnation, ProxyName, Row, Served},
         routes::{RouteName, ServiceName, Version},
-        view::{Brief, Incarnation, ProxyName, Row},
     },
 };
 
@@ -29,6 +29,9 @@
     pub(crate) const HELLO: &str = "/hello";
     pub(crate) const BRIEF: &str = "/brief";
     pub(crate) const CONFIG: &str = "/config";
+    pub(crate) const SUMMARY: &str = "/summary";
+    pub(crate) const COMPARE: &str = "/compare";
+    pub(crate) const DELIVER: &str = "/deliver";
 }
 
 /// What an attempt is to the allowance for repeats.
@@ -249,9 +252,41 @@
     pub ask: Ask,
 }
 
-/// Who calls, and what it knows.
+/// Who calls, and how it stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct Hello {
     /// The sender's row.
     pub row: Row,
+    /// What of it changes often.
+    pub current: Current,
+    /// The sender keeps a connection because it chose the receiver, and wants to be told how its endpoint stands.
+    pub chosen: bool,
 }
+
+/// The answer to [`Hello`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) struct Welcome {
+    /// The answerer's row.
+    pub row: Row,
+    /// What of it changes often.
+    pub current: Current,
+    /// The caller's row as known here, if that is newer than what the caller says: of an earlier run, before the
+    /// caller's clock was set back.
+    pub newer: Option<Row>,
+}
+
+/// What two proxies compare first; most of the time they agree.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Summary {
+    /// Differs where any row of the directories differs.
+    pub digest: u64,
+    /// The version in force.
+    pub version: Version,
+    /// How long ago someone had the store's answer that this is the newest, as far as the sender knows.
+    pub confirmed_ago: Option<Duration>,
+}
+
+/// Ends an exchange of rows.
+pub(super) type Deliver = crate::rows::Deliver<Served>;
+/// Answers [`Deliver`].
+pub(super) type Delivered = crate::rows::Delivered<Served>;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod clock;
 mod control;
+pub mod directory;
 mod endpoint;
 pub mod events;
 pub mod guard;
@@ -20,8 +21,8 @@
 pub mod routes;
 mod server;
 pub mod settings;
+mod spread;
 mod stop;
-pub mod view;
 mod watch;
 
 pub use client::CallError;
@@ -39,18 +40,23 @@
 use tokio::{sync::Notify, task::LocalSet};
 
 use crate::{
-    decide::allowance::Terms,
+    decide::{
+        allowance::Terms,
+        stopping::{Stage, Stop},
+    },
     error::Error,
     platform::Store,
     proxy::{
+        directory::{Directory, ProxyName, Row, Served},
         events::{Event, Events},
         guard::Guard,
         ingress::IngressState,
+        links::Needs,
         peer::Link,
         routes::{Config, Version},
         settings::Settings,
-        view::{Incarnation, ProxyName, Row, View},
     },
+    rows::Stamp,
 };
 
 /// The bounds of the latency histograms, in seconds: from a hop to the longest timeouts.
@@ -59,7 +65,6 @@
 /// The state of this process.
 pub(crate) struct Proxy {
     name: ProxyName,
-    incarnation: Incarnation,
     settings_path: PathBuf,
     settings: RefCell<Rc<Settings>>,
     events: Rc<Events>,
@@ -70,21 +75,24 @@
     config_changed: Notify,
     /// A configuration is being fetched from a peer.
     fetching: Cell<bool>,
-    view: RefCell<View>,
-    /// Sorted by name; one for each row of the view.
+    /// When someone last had the store's answer that the configuration in force is the newest, as far as known.
+    confirmed: Cell<Option<Instant>>,
+    directory: RefCell<Directory>,
+    /// Some row changed, or a proxy joined or left.
+    members_changed: Notify,
+    /// Sorted by name.
     links: RefCell<Vec<(ProxyName, Rc<Link>)>>,
+    needs: RefCell<Needs>,
+    /// The store's list of proxies was taken in.
+    joined: Cell<bool>,
     ingress: RefCell<IngressState>,
-    /// See [`Row::sequence`].
-    sequence: Cell<u64>,
-    /// See [`Row::turns`].
+    /// See [`directory::Current::turns`].
     turns: Cell<u64>,
     /// Requests of callers that have no answer yet.
     requests: Cell<usize>,
-    /// Set by SIGTERM: when all requests must have their answers.
-    stop_at: Cell<Option<Instant>>,
-    /// Set by SIGTERM: requests that come later are refused at once.
-    takes_until: Cell<Option<Instant>>,
-    /// `stop_at` was set.
+    /// Set by SIGTERM.
+    stop: Cell<Option<Stop>>,
+    /// `stop` was set.
     stops: Notify,
     metrics: PrometheusHandle,
 }
@@ -115,27 +123,28 @@
 
 impl Proxy {
     fn new(settings: Settings, path: &Path, events: Rc<Events>) -> Result<Self, Error> {
-        let incarnation = rand::random();
+        let now = clock::now();
         let terms = Terms { ratio: settings.retry_ratio, slack: settings.retry_slack };
         Ok(Self {
             name: settings.name.clone(),
-            incarnation,
             settings_path: path.into(),
             store: Store::new(settings.store),
-            guard: Rc::new(Guard::new(incarnation, settings.announce_every, terms, Rc::clone(&events))),
-            settings: RefCell::new(Rc::new(settings)),
+            guard: Rc::new(Guard::new(rand::random(), settings.announce_every, terms, Rc::clone(&events))),
             events,
             config: RefCell::default(),
             config_changed: Notify::new(),
             fetching: Cell::new(false),
-            view: RefCell::default(),
+            confirmed: Cell::new(None),
+            directory: RefCell::new(Directory::new(first_row(&settings), now)),
+            settings: RefCell::new(Rc::new(settings)),
+            members_changed: Notify::new(),
             links: RefCell::default(),
+            needs: RefCell::default(),
+            joined: Cell::new(false),
             ingress: RefCell::default(),
-            sequence: Cell::new(1),
             turns: Cell::new(0),
             requests: Cell::new(0),
-            stop_at: Cell::new(None),
-            takes_until: Cell::new(None),
+            stop: Cell::new(None),
             stops: Notify::new(),
             metrics: metrics_recorder()?,
         })
@@ -174,23 +183,13 @@
         metrics::counter!("jayreach_entries_skipped_total", "of" => of).increment(1);
     }
 
-    /// What this proxy says of itself.
-    fn row(&self) -> Row {
-        let settings = self.settings.borrow();
-        Row {
-            name: self.name.clone(),
-            incarnation: self.incarnation,
-            sequence: self.sequence.get(),
-            turns: self.turns.get(),
-            peers: settings.advertised,
-            data_centre: settings.data_centre.clone(),
-            version: self.version(),
-            endpoint: self.guard.row(),
-        }
+    fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
     }
 
-    fn is_stopping(&self) -> bool {
-        self.stop_at.get().is_some()
+    /// Whether new requests are refused at once: what begins now could not be finished.
+    fn takes_no_more(&self) -> bool {
+        self.stop.get().is_some_and(|it| it.stage() != Stage::HandingOver)
     }
 
     /// Whether callers should come here.
@@ -205,6 +204,18 @@
     }
 }
 
+/// The row of a proxy that has just started.
+fn first_row(settings: &Settings) -> Row {
+    Row {
+        daemon: settings.name.clone(),
+        stamp: Stamp { incarnation: clock::unix_millis(), sequence: 1, down: false },
+        data_centre: settings.data_centre.clone(),
+        peers: settings.advertised,
+        leaving: false,
+        endpoints: Served { service: settings.service.clone(), endpoint: None },
+    }
+}
+
 /// A request that has no answer yet.
 struct CountedRequest(Rc<Proxy>);
 
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -19,11 +19,13 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    decide::PathHealth,
+    decide::{PathHealth, suspicion::Standing},
     proxy::{
-        client,
+        client, clock,
+        directory::{Current, Row},
         net::{self, Local, OwnedTask},
     },
+    rows::{DaemonKey, Incarnation, Stamp, daemon_key},
 };
 
 /// How long a connection may take to open: one lost packet costs a second.
@@ -53,10 +55,27 @@
     Refused(StatusCode),
 }
 
+/// A connection may take this long to open, or to come back, before others are linked to in its place.
+const OPENING: Duration = Duration::from_millis(700);
+
 /// The link to one proxy.
 pub(super) struct Link {
     /// Where the proxy is.
     pub(super) address: SocketAddr,
+    /// The hash of its name.
+    pub(super) key: DaemonKey,
+    /// Whether it is in this proxy's data centre.
+    pub(super) near: bool,
+    /// This proxy chose it.
+    pub(super) chosen: Cell<bool>,
+    /// It chose this proxy.
+    pub(super) wanted: Cell<bool>,
+    /// Calls that have no answer yet.
+    calls: Cell<u32>,
+    /// Since when there is no connection; `None` while there is one.
+    down_since: Cell<Option<Instant>>,
+    /// The run of the proxy and its count of turns, with what it then said of its endpoint.
+    standing: Cell<(Incarnation, u64, Standing)>,
     sender: RefCell<Option<SendRequest<Full<Bytes>>>>,
     health: RefCell<PathHealth>,
     /// Running and waiting there as last told, and when.
@@ -85,15 +104,31 @@
 
 impl Drop for Connected {
     fn drop(&mut self) {
-        self.link.sender.borrow_mut().take();
+        self.link.closed();
+    }
+}
+
+/// A call that has no answer yet.
+struct CountedCall<'a>(&'a Link);
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        self.0.calls.set(self.0.calls.get() - 1);
     }
 }
 
 impl Link {
     /// A link that is not connected yet.
-    pub(super) fn new(address: SocketAddr) -> Self {
+    pub(super) fn new(row: &Row, near: bool) -> Self {
         Self {
-            address,
+            address: row.peers,
+            key: daemon_key(&row.daemon),
+            near,
+            chosen: Cell::new(false),
+            wanted: Cell::new(false),
+            calls: Cell::new(0),
+            down_since: Cell::new(Some(clock::now())),
+            standing: Cell::default(),
             sender: RefCell::default(),
             health: RefCell::default(),
             told: Cell::new((0, Instant::now())),
@@ -120,14 +155,56 @@
                 if let Err(error) = connection.await {
                     log::debug!("the connection to {} ended: {error}", link.address);
                 }
-                link.sender.borrow_mut().take();
+                link.closed();
                 ended.notify_one();
             })
         };
         *self.sender.borrow_mut() = Some(sender);
+        self.down_since.set(None);
         Ok(Connected { link: Rc::clone(self), ended, _task: task })
     }
 
+    fn closed(&self) {
+        if self.sender.borrow_mut().take().is_some() {
+            self.down_since.set(Some(clock::now()));
+        }
+    }
+
+    /// For how long there has been no connection; zero while there is one.
+    pub(super) fn down_for(&self, now: Instant) -> Duration {
+        self.down_since.get().map_or(Duration::ZERO, |it| now.saturating_duration_since(it))
+    }
+
+    /// Whether calls can be sent, or soon may.
+    pub(super) fn is_reachable(&self, now: Instant) -> bool {
+        self.down_for(now) < OPENING
+    }
+
+    /// Whether there is no connection yet, and may be one soon.
+    pub(super) fn is_opening(&self, now: Instant) -> bool {
+        !self.is_connected() && self.is_reachable(now)
+    }
+
+    /// Whether neither side chose the other and nothing is under way.
+    pub(super) fn is_needless(&self) -> bool {
+        !self.chosen.get() && !self.wanted.get() && self.calls.get() == 0
+    }
+
+    /// How far the proxy's endpoint is trusted, as last told.
+    pub(super) fn standing(&self) -> Standing {
+        self.standing.get().2
+    }
+
+    /// Takes in how the proxy's endpoint stands; whether that is news.
+    pub(super) fn take_standing(&self, stamp: Stamp, current: Current) -> bool {
+        let (incarnation, turns, before) = self.standing.get();
+        if (stamp.incarnation, current.turns) <= (incarnation, turns) {
+            return false;
+        }
+        self.standing.set((stamp.incarnation, current.turns, current.standing));
+        before != current.standing
+    }
+
     /// Has our whole row told, and the other's asked for.
     pub(super) fn greet_fully(&self) {
         self.fully.set(true);
@@ -158,6 +235,8 @@
     ) -> Result<Resp, LinkError> {
         let sender = self.sender.borrow().clone();
         let Some(mut sender) = sender else { return Err(LinkError::NotConnected) };
+        self.calls.set(self.calls.get() + 1);
+        let _counted = CountedCall(self);
         let body = rmp_serde::to_vec(req).expect("messages can be coded");
         let mut http = Request::new(Full::new(Bytes::from(body)));
         *http.method_mut() = Method::POST;
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -1,6 +1,6 @@
 //! What other proxies ask of this one.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use hyper::{
     Request, StatusCode,
@@ -10,10 +10,10 @@
 
 use crate::proxy::{
     Proxy, client,
-    message::{Ask, Hello, News, Ran, Relay, Reserve, Reserved, Run, RunEnd, Unknown, path},
+    message::{Ask, News, Ran, Relay, Reserve, Reserved, Run, RunEnd, Unknown, path},
+    peer::{Link, LinkError},
     routes::{Config, Version},
     server::{Answer, answer},
-    view::{Brief, Source},
 };
 
 /// The longest call, in bytes: a request with its body, and what is around it.
@@ -32,26 +32,22 @@
     match head.uri.path() {
         path::RESERVE => reply(&body, |it| proxy.reserve(it)).await,
         path::RUN => reply(&body, |it| proxy.run_here(it)).await,
-        path::ASK => {
-            reply(&body, |it: Ask| async {
-                let it = it;
-                proxy.guard.ask(&it.grant).await
-            })
-            .await
-        }
+        path::ASK => reply(&body, async |it: Ask| proxy.guard.ask(&it.grant).await).await,
         path::RELAY => reply(&body, |it| proxy.relay(it)).await,
-        path::HELLO => reply(&body, |it| proxy.hello(it)).await,
-        path::BRIEF => reply(&body, |it| proxy.brief(it)).await,
-        path::CONFIG => reply(&body, |it| proxy.newer_config(it)).await,
+        path::HELLO => reply(&body, async |it| proxy.welcome(it)).await,
+        path::BRIEF => reply(&body, async |it| proxy.take_brief(&it)).await,
+        path::CONFIG => reply(&body, async |it| proxy.newer_config(it)).await,
+        path::SUMMARY => reply(&body, async |it| proxy.summarize(it)).await,
+        path::COMPARE => reply(&body, async |it| proxy.compare(&it)).await,
+        path::DELIVER => reply(&body, async |it| proxy.deliver(it)).await,
         _ => answer(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
-async fn reply<Req, Resp, F>(body: &[u8], handle: impl FnOnce(Req) -> F) -> Answer
+async fn reply<Req, Resp>(body: &[u8], handle: impl AsyncFnOnce(Req) -> Resp) -> Answer
 where
     Req: DeserializeOwned,
     Resp: Serialize,
-    F: Future<Output = Resp>,
 {
     match rmp_serde::from_slice(body) {
         Ok(req) => {
@@ -68,7 +64,7 @@
 impl Proxy {
     fn news(&self) -> News {
         let (running, waiting) = self.guard.load();
-        News { brief: self.row().brief(), running, waiting, allowance_used: self.guard.allowance_used() }
+        News { brief: self.brief(), running, waiting, allowance_used: self.guard.allowance_used() }
     }
 
     async fn reserve(self: &Rc<Self>, req: Reserve) -> Reserved {
@@ -88,9 +84,7 @@
     }
 
     async fn relay(self: &Rc<Self>, relay: Relay) -> RunEnd {
-        let link = self.links.borrow().iter().find(|it| it.1.address == relay.to).map(|it| Rc::clone(&it.1));
-        let Some(link) = link else { return RunEnd::Unknown(Unknown::Silent) };
-        match link.call(path::ASK, &relay.ask).await {
+        match self.ask_at(&relay).await {
             Ok(it) => it,
             Err(error) => {
                 log::debug!("relaying to {}: {error}", relay.to);
@@ -99,16 +93,20 @@
         }
     }
 
-    async fn hello(self: &Rc<Self>, hello: Hello) -> Hello {
-        self.take_row(hello.row, Source::Told);
-        Hello { row: self.row() }
-    }
-
-    async fn brief(self: &Rc<Self>, brief: Brief) {
-        self.take_brief(&brief);
+    /// Asks a guard, on the link to it or on a connection of its own.
+    async fn ask_at(&self, relay: &Relay) -> Result<RunEnd, LinkError> {
+        let link = self.links.borrow().iter().find(|it| it.1.address == relay.to).map(|it| Rc::clone(&it.1));
+        if let Some(it) = link {
+            return it.call(path::ASK, &relay.ask).await;
+        }
+        let row = self.directory.borrow().members().find(|it| it.1.peers == relay.to).map(|it| Arc::clone(it.1));
+        let Some(row) = row else { return Err(LinkError::NotConnected) };
+        let link = Rc::new(Link::new(&row, false));
+        let _connected = link.connect().await?;
+        link.call(path::ASK, &relay.ask).await
     }
 
-    async fn newer_config(self: &Rc<Self>, known: Version) -> Option<Config> {
+    fn newer_config(&self, known: Version) -> Option<Config> {
         let config = self.config.borrow();
         config.as_deref().filter(|it| it.version > known).cloned()
     }
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -5,7 +5,7 @@
 use crate::{
     document::{self, Section},
     error::{Error, Findings},
-    proxy::view::ProxyName,
+    proxy::directory::ProxyName,
 };
 
 /// What a proxy is told by the platform it runs on.
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -1,17 +1,26 @@
 //! What is learnt from the platform's store: the configuration, and where the other proxies are.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use rand::RngExt as _;
 use tokio::time::sleep;
 
 use crate::{
-    platform::{ConfigObject, ParsedConfig, PresenceObject, StoreFailure, WatchEnd},
-    proxy::{Proxy, events::Event},
+    decide::watchers,
+    platform::{ConfigObject, ParsedConfig, PresenceList, PresenceObject, Reading, StoreFailure, WatchEnd},
+    proxy::{Proxy, clock, directory::Listed, events::Event},
 };
 
-/// How long a watch waits: each call has its price, and a connection may be silent for good.
-const WATCH: Duration = Duration::from_secs(20);
+/// How long a watch waits: its answer tells the whole fleet that the store was heard, and a connection may be silent
+/// for good. Each call has its price, but few proxies watch.
+const WATCH: Duration = Duration::from_secs(5);
+/// How often a proxy that doesn't watch looks whether it should.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// How long a proxy that has just started looks for the others before it decides whether to watch.
+const JOIN_WAIT: Duration = Duration::from_millis(500);
 /// The first pause after a failed call, and the longest: a change must be in force two seconds after
 /// the store is back, and each refused call has its price.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -48,10 +57,48 @@
 }
 
 impl Proxy {
-    /// Follows the configuration for ever.
+    /// Follows the configuration for ever: at the store when it is this proxy's turn, else as others tell it.
     pub(super) async fn follow_config(self: Rc<Self>) {
-        let mut backoff = Backoff { proxy: &self, failures: 0 };
+        let start = clock::now();
+        while !self.joined.get() && clock::now() < start + JOIN_WAIT {
+            sleep(LOOK_EVERY / 4).await;
+        }
         loop {
+            while !self.watches(start) {
+                sleep(LOOK_EVERY).await;
+            }
+            self.watch_store(start).await;
+        }
+    }
+
+    /// Whether it is this proxy's turn to watch the store.
+    fn watches(&self, start: Instant) -> bool {
+        let directory = self.directory.borrow();
+        let data_centre = &directory.own().data_centre;
+        let near = directory.members().filter(|it| it.1.data_centre == *data_centre).map(|it| it.0);
+        let rank = watchers::rank(directory.own_key(), near);
+        match self.confirmed_ago() {
+            Some(it) => watchers::watches(rank, it),
+            None => watchers::watches_first(rank, clock::now().saturating_duration_since(start)),
+        }
+    }
+
+    /// How long ago anyone had the store's answer that the configuration in force is the newest, as far as known.
+    pub(super) fn confirmed_ago(&self) -> Option<Duration> {
+        self.confirmed.get().map(|it| clock::now().saturating_duration_since(it))
+    }
+
+    /// Takes in how long ago someone had the store's answer.
+    pub(super) fn confirm(&self, ago: Duration) {
+        let at = clock::now().checked_sub(ago);
+        self.confirmed.set(self.confirmed.get().max(at));
+    }
+
+    /// Follows the configuration at the store while it is this proxy's turn.
+    async fn watch_store(&self, start: Instant) {
+        let mut backoff = Backoff { proxy: self, failures: 0 };
+        while self.watches(start) {
+            let asked = clock::now();
             let object = match self.store.config().await {
                 Ok(it) => it,
                 Err(error) => {
@@ -61,12 +108,14 @@
             };
             backoff.answered();
             let mut revision = self.take_config(object);
-            loop {
+            self.confirm(clock::now().saturating_duration_since(asked));
+            while self.watches(start) {
                 match self.store.watch_config(revision, WATCH).await {
                     Ok(WatchEnd::Went(object)) => {
                         backoff.answered();
                         let changed = object.config.is_some();
                         revision = self.take_config(object);
+                        self.confirm(Duration::ZERO);
                         if changed {
                             sleep(SETTLE).await;
                         }
@@ -103,28 +152,60 @@
         }
     }
 
-    /// Says where this proxy is, then finds the others: of two that start together, the one that
-    /// lists later sees the other.
+    /// Finds the others, and says where this proxy is unless the store has that from an earlier run. Of two that start
+    /// together for the first time, the one that lists later sees the other.
     pub(super) async fn join(self: Rc<Self>) {
+        let presence = self.presence();
         let mut backoff = Backoff { proxy: &self, failures: 0 };
-        let presence = PresenceObject { name: self.name.clone(), peers: self.settings.borrow().advertised };
+        let listed = loop {
+            match self.store.presences(Reading::MayBeStale).await {
+                Ok(it) => break it,
+                Err(error) => backoff.failed(&error).await,
+            }
+        };
+        backoff.answered();
+        let is_listed = listed.presences.contains(&presence);
+        self.take_list(listed);
+        if is_listed {
+            return;
+        }
         while let Err(error) = self.store.put_presence(&presence).await {
             backoff.failed(&error).await;
         }
         loop {
-            match self.store.presences().await {
-                Ok(list) => {
+            match self.store.presences(Reading::Newest).await {
+                Ok(it) => {
                     backoff.answered();
-                    for it in &list.skipped {
-                        self.tell_skipped("store", &it.name, &it.why);
-                    }
-                    for it in list.presences {
-                        self.link_to(&it.name, it.peers);
-                    }
+                    self.take_list(it);
                     return;
                 }
                 Err(error) => backoff.failed(&error).await,
             }
         }
     }
+
+    fn presence(&self) -> PresenceObject {
+        let settings = self.settings.borrow();
+        PresenceObject {
+            name: self.name.clone(),
+            peers: settings.advertised,
+            data_centre: settings.data_centre.clone(),
+            service: settings.service.clone(),
+        }
+    }
+
+    fn take_list(&self, list: PresenceList) {
+        for it in &list.skipped {
+            self.tell_skipped("store", &it.name, &it.why);
+        }
+        let listed = list.presences.into_iter().filter(|it| it.name != self.name).map(|it| Listed {
+            name: it.name,
+            peers: it.peers,
+            data_centre: it.data_centre,
+            service: it.service,
+        });
+        self.directory.borrow_mut().seed(listed, clock::now());
+        self.joined.set(true);
+        self.members_changed.notify_one();
+    }
 }
--- a/src/rows/exchange.rs
+++ b/src/rows/exchange.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     rows::{
-        row::{Row, Stamp},
+        row::{EndpointRow, Row, Stamp},
         table::{DaemonKey, Merge, Table},
     },
     targets::Version,
@@ -45,25 +45,25 @@
 
 /// Ends an exchange in which something differed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Deliver {
+pub struct Deliver<E = Vec<EndpointRow>> {
     /// What the sender has newer.
-    pub rows: Vec<Row>,
+    pub rows: Vec<Row<E>>,
     /// What it wants.
     pub wanted: Vec<DaemonKey>,
 }
 
 /// Answers `Deliver`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Delivered {
+pub struct Delivered<E = Vec<EndpointRow>> {
     /// The rows that were wanted.
-    pub rows: Vec<Row>,
+    pub rows: Vec<Row<E>>,
 }
 
 /// News, sent at once to a few peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Push {
+pub struct Push<E = Vec<EndpointRow>> {
     /// The rows that changed.
-    pub rows: Vec<Row>,
+    pub rows: Vec<Row<E>>,
     /// The version the sender has in force.
     pub version: Version,
     /// Where the sender's peers reach it, for fetching that version.
@@ -72,13 +72,13 @@
 
 impl Compare {
     /// Opens an exchange for `table`.
-    pub fn new(table: &Table, version: Version) -> Self {
+    pub fn new<E: Clone>(table: &Table<E>, version: Version) -> Self {
         let digest = table.buckets().iter().flat_map(|it| it.to_le_bytes()).collect();
         Self { digest, version }
     }
 
     /// The answer of `table`.
-    pub fn answer(&self, table: &Table, version: Version) -> Compared {
+    pub fn answer<E: Clone>(&self, table: &Table<E>, version: Version) -> Compared {
         let theirs = self.digest.chunks_exact(4);
         let pairs = table.buckets().iter().zip(theirs).enumerate();
         let differing = pairs.filter(|(_, (ours, theirs))| ours.to_le_bytes() != **theirs);
@@ -89,7 +89,7 @@
 
 impl Compared {
     /// What to deliver and to ask for; `None` if the tables agree.
-    pub fn follow_up(&self, table: &Table) -> Option<Deliver> {
+    pub fn follow_up<E: Clone>(&self, table: &Table<E>) -> Option<Deliver<E>> {
         let mut deliver = Deliver { rows: Vec::new(), wanted: Vec::new() };
         for it in &self.differing {
             let mut theirs = it.stamps.clone();
@@ -111,9 +111,9 @@
     })
 }
 
-impl Deliver {
+impl<E: Clone> Deliver<E> {
     /// Takes the rows in and answers with those that are wanted; also returns the news.
-    pub fn answer(self, table: &mut Table, now: Instant) -> (Delivered, Vec<Row>) {
+    pub fn answer(self, table: &mut Table<E>, now: Instant) -> (Delivered<E>, Vec<Row<E>>) {
         let wanted = self.wanted.iter().filter_map(|it| table.by_key(*it));
         let rows = wanted.map(|it| Row::clone(it)).collect();
         let news = merge_all(table, self.rows, now);
@@ -122,7 +122,7 @@
 }
 
 /// Takes rows in; returns those that were news.
-pub(super) fn merge_all(table: &mut Table, rows: Vec<Row>, now: Instant) -> Vec<Row> {
+pub(super) fn merge_all<E: Clone>(table: &mut Table<E>, rows: Vec<Row<E>>, now: Instant) -> Vec<Row<E>> {
     let mut news = Vec::new();
     for row in rows {
         match table.merge(row.clone(), now) {
@@ -134,9 +134,9 @@
     news
 }
 
-impl Table {
+impl<E: Clone> Table<E> {
     /// Takes rows in; returns those that were news, and the own row if it had to be defended.
-    pub fn merge_all(&mut self, rows: Vec<Row>, now: Instant) -> Vec<Row> {
+    pub fn merge_all(&mut self, rows: Vec<Row<E>>, now: Instant) -> Vec<Row<E>> {
         merge_all(self, rows, now)
     }
 }
--- a/src/rows/mod.rs
+++ b/src/rows/mod.rs
@@ -1,4 +1,4 @@
-//! Membership: one versioned row a daemon, spread by push and by anti-entropy.
+//! Membership: one versioned row a daemon or proxy, spread by push and by anti-entropy.
 
 mod exchange;
 mod row;
@@ -6,4 +6,4 @@
 
 pub use exchange::{BucketStamps, Compare, Compared, Deliver, Delivered, Push};
 pub use row::{DaemonId, EndpointId, EndpointRow, EndpointState, Incarnation, Row, Stamp};
-pub use table::{BUCKETS, DaemonKey, Entry, Merge, Table, daemon_key};
+pub use table::{BUCKETS, DaemonKey, Entry, Merge, OwnClaims, Table, daemon_key};
--- a/src/rows/row.rs
+++ b/src/rows/row.rs
@@ -1,4 +1,4 @@
-//! A daemon's row: what the fleet knows of it. Only the owner changes it.
+//! A row: what the fleet knows of a daemon, or of a proxy. Only the owner changes it.
 
 use std::net::SocketAddr;
 
@@ -57,9 +57,9 @@
     pub down: bool,
 }
 
-/// What the fleet knows of a daemon.
+/// What the fleet knows of a daemon; `E` tells of the endpoints that it guards.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
+pub struct Row<E = Vec<EndpointRow>> {
     /// The owner.
     pub daemon: DaemonId,
     /// Orders this row among the owner's others.
@@ -70,6 +70,6 @@
     pub peers: SocketAddr,
     /// Whether it is shutting down.
     pub leaving: bool,
-    /// Its endpoints, sorted by id.
-    pub endpoints: Vec<EndpointRow>,
+    /// Its endpoints; where there may be several, sorted by id.
+    pub endpoints: E,
 }
--- a/src/rows/table.rs
+++ b/src/rows/table.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::{
-    rows::row::{Row, Stamp},
-    util::stable_hash,
+    rows::row::{EndpointRow, Row, Stamp},
+    util::{mix, stable_hash},
 };
 
 /// Into how many buckets the digest is cut; chosen by measurement (docs/CAPACITY.md, rows).
@@ -27,14 +27,21 @@
 
 /// A row and when it was last replaced.
 #[derive(Debug, Clone)]
-pub struct Entry {
+pub struct Entry<E = Vec<EndpointRow>> {
     key: DaemonKey,
     /// The row.
-    pub row: Arc<Row>,
+    pub row: Arc<Row<E>>,
     /// When this daemon took the row in.
     pub since: Instant,
 }
 
+impl<E> Entry<E> {
+    /// The short name of the row's owner.
+    pub fn key(&self) -> DaemonKey {
+        self.key
+    }
+}
+
 /// What became of a row that was offered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Merge {
@@ -46,32 +53,47 @@
     Contradicts,
 }
 
+/// What the owner makes of a row of its name with a higher incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnClaims {
+    /// Another process has its name, and can't be refuted.
+    Stand,
+    /// It is of an earlier run, begun before the VM's clock was set back: the owner goes above it.
+    Outbid,
+}
+
 /// All rows one daemon knows.
-pub struct Table {
+pub struct Table<E = Vec<EndpointRow>> {
     own: DaemonKey,
+    claims: OwnClaims,
     /// Sorted by key, one entry a daemon.
-    entries: Vec<Entry>,
+    entries: Vec<Entry<E>>,
     /// Each is the sum of the hashes of its rows' stamps.
     buckets: Vec<u32>,
 }
 
-impl Table {
+impl<E: Clone> Table<E> {
     /// A table that holds the owner's row only.
-    pub fn new(own: Row, now: Instant) -> Self {
+    pub fn new(own: Row<E>, claims: OwnClaims, now: Instant) -> Self {
         let key = daemon_key(&own.daemon);
-        let mut table = Self { own: key, entries: Vec::new(), buckets: vec![0; BUCKETS] };
+        let mut table = Self { own: key, claims, entries: Vec::new(), buckets: vec![0; BUCKETS] };
         table.store(key, Arc::new(own), now);
         table
     }
 
     /// The owner's row.
-    pub fn own(&self) -> &Arc<Row> {
+    pub fn own(&self) -> &Arc<Row<E>> {
         let at = self.find(self.own).expect("the owner's row is always there");
         &self.entries[at].row
     }
 
+    /// The short name of the owner.
+    pub fn own_key(&self) -> DaemonKey {
+        self.own
+    }
+
     /// Replaces the owner's row after `edit`, with the next sequence.
-    pub fn edit_own(&mut self, now: Instant, edit: impl FnOnce(&mut Row)) {
+    pub fn edit_own(&mut self, now: Instant, edit: impl FnOnce(&mut Row<E>)) {
         let mut row = Row::clone(self.own());
         edit(&mut row);
         row.stamp.sequence += 1;
@@ -83,7 +105,7 @@
     ///
     /// An unknown row that is down is not taken in: it would come back for ever, since each
     /// daemon forgets it at another time.
-    pub fn merge(&mut self, row: Row, now: Instant) -> Merge {
+    pub fn merge(&mut self, row: Row<E>, now: Instant) -> Merge {
         let key = daemon_key(&row.daemon);
         let known = self.find(key).map(|at| &self.entries[at].row);
         if known.is_none() && row.stamp.down {
@@ -100,11 +122,12 @@
         Merge::News
     }
 
-    /// Answers a claim about the owner with a higher sequence. A higher incarnation is another
-    /// process with this name; it cannot be refuted by this one.
+    /// Answers a claim about the owner with a higher stamp, if it may.
     fn refute(&mut self, claim: Stamp, now: Instant) {
         if claim.incarnation == self.own().stamp.incarnation {
             self.edit_own(now, |it| it.stamp.sequence = claim.sequence);
+        } else if self.claims == OwnClaims::Outbid {
+            self.edit_own(now, |it| it.stamp.incarnation = claim.incarnation + 1);
         }
     }
 
@@ -124,7 +147,7 @@
     /// Drops rows of daemons that left or are down for long.
     pub fn forget(&mut self, now: Instant) {
         let own = self.own;
-        let kept = |it: &Entry| {
+        let kept = |it: &Entry<E>| {
             let limit = match (it.row.leaving, it.row.stamp.down) {
                 (true, _) => FORGET_LEFT,
                 (false, true) => FORGET_DOWN,
@@ -145,18 +168,24 @@
         }
     }
 
+    /// One number that differs, but by rare chance, where any row differs.
+    pub fn digest(&self) -> u64 {
+        let words: Vec<u64> = self.buckets.iter().map(|it| u64::from(*it)).collect();
+        mix(&words)
+    }
+
     /// All entries, sorted by key.
-    pub fn entries(&self) -> &[Entry] {
+    pub fn entries(&self) -> &[Entry<E>] {
         &self.entries
     }
 
     /// The row of a daemon.
-    pub fn get(&self, daemon: &str) -> Option<&Arc<Row>> {
+    pub fn get(&self, daemon: &str) -> Option<&Arc<Row<E>>> {
         self.by_key(daemon_key(daemon))
     }
 
     /// The row with this short name.
-    pub fn by_key(&self, key: DaemonKey) -> Option<&Arc<Row>> {
+    pub fn by_key(&self, key: DaemonKey) -> Option<&Arc<Row<E>>> {
         self.find(key).map(|at| &self.entries[at].row)
     }
 
@@ -174,13 +203,13 @@
     }
 
     /// The daemons that can be asked: neither down nor this one.
-    pub fn live(&self) -> impl Iterator<Item = &Arc<Row>> {
+    pub fn live(&self) -> impl Iterator<Item = &Arc<Row<E>>> {
         let own = self.own;
         self.entries.iter().filter(move |it| it.key != own && !it.row.stamp.down).map(|it| &it.row)
     }
 
     /// The daemons that are held to be down and still tried now and then.
-    pub fn down(&self) -> impl Iterator<Item = &Arc<Row>> {
+    pub fn down(&self) -> impl Iterator<Item = &Arc<Row<E>>> {
         self.entries.iter().filter(|it| it.row.stamp.down && !it.row.leaving).map(|it| &it.row)
     }
 
@@ -188,7 +217,7 @@
         self.entries.binary_search_by_key(&key, |it| it.key).ok()
     }
 
-    fn store(&mut self, key: DaemonKey, row: Arc<Row>, now: Instant) {
+    fn store(&mut self, key: DaemonKey, row: Arc<Row<E>>, now: Instant) {
         let stamp = row.stamp;
         let entry = Entry { key, row, since: now };
         match self.entries.binary_search_by_key(&key, |it| it.key) {
@@ -222,11 +251,5 @@
 }
 
 fn stamp_hash(key: DaemonKey, stamp: Stamp) -> u32 {
-    let words = [key, stamp.incarnation, stamp.sequence, u64::from(stamp.down)];
-    let mut hash = 0x9e37_79b9_7f4a_7c15_u64;
-    for word in words {
-        hash = (hash ^ word).wrapping_mul(0xff51_afd7_ed55_8ccd);
-        hash ^= hash >> 32;
-    }
-    hash as u32
+    mix(&[key, stamp.incarnation, stamp.sequence, u64::from(stamp.down)]) as u32
 }
--- a/src/util.rs
+++ b/src/util.rs
@@ -36,3 +36,13 @@
     let digest = hasher.finalize();
     u64::from_le_bytes(digest[..8].try_into().expect("a SHA-256 has 32 bytes"))
 }
+
+/// A fast 64-bit hash of numbers that are hashes or counts themselves; the same on every machine.
+pub fn mix(words: &[u64]) -> u64 {
+    let mut hash = 0x9e37_79b9_7f4a_7c15_u64;
+    for word in words {
+        hash = (hash ^ word).wrapping_mul(0xff51_afd7_ed55_8ccd);
+        hash ^= hash >> 32;
+    }
+    hash
+}
--- a/standins/src/slopes.rs
+++ b/standins/src/slopes.rs
@@ -7,7 +7,9 @@
 
 use jayreach::{
     decide::{Admission, Arrival, Candidate, Detector, Gate, Sample, choose},
-    rows::{BucketStamps, Compare, Compared, Deliver, EndpointRow, EndpointState, Row, Stamp, Table, daemon_key},
+    rows::{
+        BucketStamps, Compare, Compared, Deliver, EndpointRow, EndpointState, OwnClaims, Row, Stamp, Table, daemon_key,
+    },
     targets::{Account, Class, Directory, Route, Service, Targets, Weighs, differences, hash_token, split},
     ticket::{GuardRef, Home, Ledger},
     wire::{Answer, Outcome, TicketLeg, encode},
@@ -73,7 +75,7 @@
 /// A table of `count` rows, in which the first `newer` have a higher sequence.
 fn table(count: usize, newer: usize, own: usize) -> Table {
     let now = Instant::now();
-    let mut table = Table::new(row(own, 1), now);
+    let mut table = Table::new(row(own, 1), OwnClaims::Stand, now);
     for number in (0..count).filter(|it| *it != own) {
         table.merge(row(number, if number < newer { 2 } else { 1 }), now);
     }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -145,3 +145,37 @@
 
     assert!(anew.allows(false), "the deployment's first gray endpoints cost a repeat each");
 }
+
+/// A whole service sheds for eight seconds: `guards` of them, each with four first arrivals a second, half of which are
+/// declined and want a repeat at another guard. Returns the repeats that arrived in the worst window of ten seconds, less
+/// what the rule allows, with each guard counting `known` guards.
+fn replay_whole_shed(guards: usize, known: usize) -> f64 {
+    const TICKS_PER_S: usize = 100;
+    let (slack, seconds) = (630.0, 30);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut all: Vec<_> = (0..guards).map(|_| allowance(slack, known)).collect();
+    let (mut firsts, mut repeats) = (vec![0.0; seconds], vec![0.0; seconds]);
+    for tick in 0..seconds * TICKS_PER_S {
+        let second = tick / TICKS_PER_S;
+        for _ in 0..guards * 4 / TICKS_PER_S {
+            all[rng.random_range(0..guards)].count(0.0);
+            firsts[second] += 1.0;
+            let elsewhere = &mut all[rng.random_range(0..guards)];
+            if (10..18).contains(&second) && rng.random_bool(0.5) && elsewhere.allows(true) {
+                elsewhere.count(1.0);
+                repeats[second] += 1.0;
+            }
+        }
+    }
+    let sum = |of: &[f64], from: usize| of[from..from + 10].iter().sum::<f64>();
+    (0..seconds - 10).map(|it| sum(&repeats, it) - sum(&firsts, it) * 0.2 - slack).fold(f64::MIN, f64::max)
+}
+
+#[test]
+fn the_slack_is_shared_by_all_guards_of_the_service_not_only_by_those_linked() {
+    let shared_by_all = replay_whole_shed(137, 137);
+    let shared_by_linked = replay_whole_shed(137, 24);
+
+    assert!(shared_by_all <= 0.0, "{shared_by_all} too many");
+    assert!(shared_by_linked > 0.0, "the replay would show it: {shared_by_linked}");
+}
--- /dev/null
+++ b/tests/subset.rs
@@ -0,0 +1,173 @@
+//! Whom proxies link to, and which of them watch the store, over fleets of a hundred and of hundreds.
+
+use std::time::Duration;
+
+use jayreach::{
+    decide::{
+        subset::{Member, choose},
+        watchers::{rank, watches, watches_first},
+    },
+    util::mix,
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
+
+/// A VM of a fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Vm {
+    key: u64,
+    service: &'static str,
+    data_centre: usize,
+}
+
+/// Three services of unlike size over five data centres.
+fn fleet(size: usize) -> Vec<Vm> {
+    let service = |at: usize| match at * 100 / size {
+        ..24 => "portal",
+        24..62 => "vouchers",
+        _ => "billing",
+    };
+    (0..size).map(|at| Vm { key: mix(&[at as u64, 7]), service: service(at), data_centre: at % 5 }).collect()
+}
+
+/// The keys of those that `me` links to, of those that `reachable` says.
+fn chosen(me: Vm, fleet: &[Vm], reachable: impl Fn(Vm) -> bool) -> Vec<u64> {
+    let others: Vec<Vm> = fleet.iter().copied().filter(|it| it.key != me.key).collect();
+    let members: Vec<Member<'_>> = others
+        .iter()
+        .map(|it| Member {
+            key: it.key,
+            service: it.service,
+            near: it.data_centre == me.data_centre,
+            reachable: reachable(*it),
+        })
+        .collect();
+    let mut keys: Vec<u64> = choose(me.key, &members).into_iter().map(|at| others[at].key).collect();
+    keys.sort_unstable();
+    keys
+}
+
+fn of_service(keys: &[u64], fleet: &[Vm], service: &str) -> usize {
+    fleet.iter().filter(|it| it.service == service && keys.binary_search(&it.key).is_ok()).count()
+}
+
+#[rstest]
+#[case(24, 1.45)]
+#[case(91, 1.6)]
+#[case(354, 1.6)]
+#[case(1_000, 1.6)]
+fn each_guard_has_about_as_many_ingresses_as_the_others(#[case] size: usize, #[case] most: f64) {
+    let fleet = fleet(size);
+    let links: Vec<Vec<u64>> = fleet.iter().map(|it| chosen(*it, &fleet, |_| true)).collect();
+
+    // Who chose it may send to it, and it may send to whom it chose: both sides keep the connection.
+    let linked = |a: usize, b: usize| {
+        links[a].binary_search(&fleet[b].key).is_ok() || links[b].binary_search(&fleet[a].key).is_ok()
+    };
+    for service in ["portal", "vouchers", "billing"] {
+        let guards: Vec<usize> = (0..size).filter(|it| fleet[*it].service == service).collect();
+        let ingresses = |guard: usize| (0..size).filter(|it| *it != guard && linked(*it, guard)).count();
+        let counts: Vec<usize> = guards.iter().map(|it| ingresses(*it)).collect();
+        let mean = counts.iter().sum::<usize>() as f64 / counts.len() as f64;
+        let busiest = *counts.iter().max().expect("there are guards") as f64;
+        assert!(busiest / mean <= most, "{service}: {busiest} of {mean:.1}");
+    }
+}
+
+#[rstest]
+#[case(91)]
+#[case(354)]
+#[case(2_400)]
+fn links_stay_few_as_the_fleet_grows(#[case] size: usize) {
+    let fleet = fleet(size);
+
+    let most = fleet.iter().take(50).map(|it| chosen(*it, &fleet, |_| true).len()).max();
+
+    assert_eq!(most, Some(24));
+}
+
+#[test]
+fn a_service_with_few_guards_is_linked_whole() {
+    let fleet = fleet(24);
+
+    let keys = chosen(fleet[0], &fleet, |_| true);
+
+    assert!(of_service(&keys, &fleet, "portal") >= 5, "all but itself");
+    assert!(of_service(&keys, &fleet, "vouchers") >= 8);
+}
+
+#[test]
+fn one_that_leaves_moves_only_the_connections_of_those_that_chose_it() {
+    let before = fleet(354);
+    let gone = before[100];
+    let after: Vec<Vm> = before.iter().copied().filter(|it| it.key != gone.key).collect();
+
+    for me in &after {
+        let (old, new) = (chosen(*me, &before, |_| true), chosen(*me, &after, |_| true));
+        let kept = new.iter().filter(|it| old.binary_search(it).is_ok()).count();
+        let lost = old.binary_search(&gone.key).is_ok();
+        assert_eq!(kept, if lost { old.len() - 1 } else { old.len() }, "{me:?}");
+    }
+}
+
+/// More than half of the fleet loses its power at the same moment.
+#[test]
+fn who_cannot_be_reached_is_made_up_for() {
+    let fleet = fleet(354);
+    let mut rng = SmallRng::seed_from_u64(7);
+    let dead: Vec<u64> = fleet.iter().filter(|_| rng.random_bool(0.55)).map(|it| it.key).collect();
+    let lives = |it: Vm| !dead.contains(&it.key);
+
+    for me in fleet.iter().copied().filter(|it| lives(*it)) {
+        let keys: Vec<u64> = chosen(me, &fleet, lives).into_iter().filter(|it| !dead.contains(it)).collect();
+        for service in ["portal", "vouchers", "billing"] {
+            assert_eq!(of_service(&keys, &fleet, service), 8, "{me:?} {service}");
+        }
+    }
+}
+
+/// How many proxies watch of a fleet in which `confirmed_ago` is how old the newest confirmation is.
+fn watchers(fleet: &[Vm], confirmed_ago: Duration) -> usize {
+    let near = |me: Vm| fleet.iter().filter(move |it| it.key != me.key && it.data_centre == me.data_centre);
+    fleet.iter().filter(|me| watches(rank(me.key, near(**me).map(|it| it.key)), confirmed_ago)).count()
+}
+
+#[rstest]
+#[case(24)]
+#[case(354)]
+#[case(2_400)]
+fn three_watch_in_each_data_centre(#[case] size: usize) {
+    assert_eq!(watchers(&fleet(size), Duration::from_secs(5)), 15);
+}
+
+#[test]
+fn the_longer_nobody_hears_the_store_the_more_watch() {
+    let fleet = fleet(354);
+
+    let counts = [11, 12, 14, 20].map(|it| watchers(&fleet, Duration::from_secs(it)));
+
+    assert_eq!(counts[0], 15);
+    assert!(counts[0] < counts[1] && counts[1] < counts[2], "{counts:?}");
+    assert_eq!(counts[3], 354, "in the end all do");
+}
+
+#[test]
+fn a_proxy_without_a_configuration_waits_for_the_watchers_before_it_asks_the_store() {
+    let wait = (0..200u64).map(Duration::from_millis).map(|it| it * 100).find(|it| watches_first(40, *it));
+
+    assert!(watches_first(0, Duration::ZERO));
+    assert_eq!(wait, Some(Duration::from_millis(6_800)));
+}
+
+/// Takes turns as members go at random: someone always watches, in each data centre that has anyone.
+#[test]
+fn whoever_goes_someone_watches() {
+    let mut fleet = fleet(120);
+    let mut rng = SmallRng::seed_from_u64(11);
+
+    while !fleet.is_empty() {
+        fleet.swap_remove(rng.random_range(0..fleet.len()));
+        let data_centres = (0..5).filter(|it| fleet.iter().any(|vm| vm.data_centre == *it)).count();
+        assert!(watchers(&fleet, Duration::from_secs(1)) >= data_centres);
+    }
+}
