--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -148,8 +148,8 @@
     let mut rounds = 0;
     while !fleet.iter().all(knows) {
         rounds += 1;
-        for me in 0..size {
-            let partner = links[me][rng.random_range(0..LINKED)];
+        for (me, linked) in links.iter().enumerate() {
+            let partner = linked[rng.random_range(0..LINKED)];
             let [a, b] = fleet.get_disjoint_mut([me, partner]).expect("two proxies");
             exchange(a, b);
         }
