--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -38,6 +38,12 @@
 /// silence looks like a queue.
 const ONE_MORE_WISH: Duration = Duration::from_millis(120);
 
+/// For how long after its start a proxy may not have found the guards yet. Callers come at once, and without this a proxy
+/// that starts again refuses them until it has the others' rows.
+const FRESH: Duration = Duration::from_millis(1_500);
+/// How long a request waits for links at most: a restarted proxy has them within a few hundred milliseconds, and a caller
+/// who must be refused should hear it soon.
+const OPENING_WAIT: Duration = Duration::from_millis(700);
 /// How often it is looked whether a link has opened: a few round trips.
 const OPENING_PAUSE: Duration = Duration::from_millis(15);
 
@@ -73,7 +79,8 @@
         self.need(&job.service);
         for _ in 0..LOOKS {
             let mut choice = self.choice(job, tried);
-            while choice.endpoints.is_empty() && clock::now() < patience && self.may_reach_soon(&job.service) {
+            let wait_until = patience.min(start + OPENING_WAIT);
+            while choice.endpoints.is_empty() && clock::now() < wait_until && self.may_reach_soon(&job.service) {
                 sleep(OPENING_PAUSE).await;
                 choice = self.choice(job, tried);
             }
@@ -146,10 +153,13 @@
         Some(Reachable { guard: Guarded::There(name.clone(), Rc::clone(link)), candidate, told_ago })
     }
 
-    /// Whether a link to one of the service's guards is about to open: this proxy has just started, or has had no request
-    /// for the service for long.
+    /// Whether the service's guards may be known or reached soon: this proxy has just started, or has had no request for the
+    /// service for long.
     fn may_reach_soon(&self, service: &str) -> bool {
         let now = clock::now();
+        if now.saturating_duration_since(self.started) < FRESH {
+            return true;
+        }
         let directory = self.directory.borrow();
         let serves = |link: &Link| directory.by_key(link.key).is_some_and(|it| *it.endpoints.service == *service);
         self.links.borrow().iter().any(|it| it.1.is_opening(now) && serves(&it.1))
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -65,6 +65,7 @@
 /// The state of this process.
 pub(crate) struct Proxy {
     name: ProxyName,
+    started: Instant,
     settings_path: PathBuf,
     settings: RefCell<Rc<Settings>>,
     events: Rc<Events>,
@@ -129,6 +130,7 @@
         let terms = Terms { ratio: settings.retry_ratio, slack: settings.retry_slack };
         Ok(Self {
             name: settings.name.clone(),
+            started: now,
             settings_path: path.into(),
             store: Store::new(settings.store),
             guard: Rc::new(Guard::new(rand::random(), settings.announce_every, terms, Rc::clone(&events))),
