--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,7 +16,9 @@
     retry_after, set_caller_service, set_deadline, set_instance,
 };
 pub use health::health;
-pub use store::{ConfigObject, PresenceList, PresenceObject, Reading, SkippedObject, Store, StoreFailure, WatchEnd};
+pub use store::{
+    ConfigObject, Consistency, PresenceList, PresenceObject, SkippedObject, Store, StoreFailure, WatchEnd,
+};
 
 /// The path of the platform's readiness question.
 pub const READINESS_PATH: &str = "/readiness";
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -71,20 +71,20 @@
     pub service: Box<str>,
 }
 
-/// How new a reading must be.
+/// How new what is read must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reading {
+pub enum Consistency {
     /// As new as all that was acknowledged.
-    Newest,
+    Linearizable,
     /// Some seconds old perhaps, at a tenth of the price.
-    MayBeStale,
+    Stale,
 }
 
-impl Reading {
+impl Consistency {
     fn query(self) -> &'static str {
         match self {
-            Self::Newest => "allow_stale=0",
-            Self::MayBeStale => "allow_stale=1",
+            Self::Linearizable => "allow_stale=0",
+            Self::Stale => "allow_stale=1",
         }
     }
 }
@@ -174,8 +174,8 @@
     /// # Errors
     ///
     /// See [`StoreFailure`].
-    pub async fn config(&self, reading: Reading) -> Result<ConfigObject, StoreFailure> {
-        let path = format!("/objects/{CONFIG_KIND}?{}", reading.query());
+    pub async fn config(&self, consistency: Consistency) -> Result<ConfigObject, StoreFailure> {
+        let path = format!("/objects/{CONFIG_KIND}?{}", consistency.query());
         let (status, body) = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
         if status != StatusCode::OK {
             return Err(StoreFailure::Refused(status.as_u16()));
@@ -214,12 +214,12 @@
     /// # Errors
     ///
     /// See [`StoreFailure`].
-    pub async fn presences(&self, reading: Reading) -> Result<PresenceList, StoreFailure> {
+    pub async fn presences(&self, consistency: Consistency) -> Result<PresenceList, StoreFailure> {
         let mut list = PresenceList::default();
         let mut after: Option<Box<str>> = None;
         loop {
             let from = after.as_ref().map_or_else(String::new, |it| format!("&after={it}"));
-            let path = format!("/objects/{PRESENCE_KIND}?{}{from}", reading.query());
+            let path = format!("/objects/{PRESENCE_KIND}?{}{from}", consistency.query());
             let (status, body) = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
             if status != StatusCode::OK {
                 return Err(StoreFailure::Refused(status.as_u16()));
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// A connection of its own to a row's owner, for a few calls.
+    pub(super) async fn open(row: &Row) -> Result<(Rc<Self>, Connected), LinkError> {
+        let link = Rc::new(Self::new(row, false));
+        let connected = link.connect().await?;
+        Ok((link, connected))
+    }
+
     /// Connects.
     pub(super) async fn connect(self: &Rc<Self>) -> Result<Connected, LinkError> {
         let stream = net::connect(self.address, CONNECT_TIMEOUT).await.map_err(|_| LinkError::NotConnected)?;
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -104,8 +104,7 @@
         }
         let row = self.directory.borrow().members().find(|it| it.1.peers == relay.to).map(|it| Arc::clone(it.1));
         let Some(row) = row else { return Err(LinkError::NotConnected) };
-        let link = Rc::new(Link::new(&row, false));
-        let _connected = link.connect().await?;
+        let (link, _connected) = Link::open(&row).await?;
         link.call(path::ASK, &relay.ask).await
     }
 
--- a/src/proxy/spread.rs
+++ b/src/proxy/spread.rs
@@ -208,10 +208,9 @@
     async fn try_down(self: &Rc<Self>) {
         let row = self.directory.borrow().down().collect::<Vec<_>>().choose(&mut rand::rng()).map(|it| Row::clone(it));
         let Some(row) = row else { return };
-        let link = Rc::new(Link::new(&row, false));
-        let Ok(connected) = link.connect().await else { return };
+        // One that is down in truth is not news.
+        let Ok((link, _connected)) = Link::open(&row).await else { return };
         self.exchange(&link).await;
-        drop(connected);
     }
 
     /// Compares directories with a peer, and evens out what differs.
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     decide::watchers,
-    platform::{ConfigObject, PresenceList, PresenceObject, Reading, StoreFailure, WatchEnd},
+    platform::{ConfigObject, Consistency, PresenceList, PresenceObject, StoreFailure, WatchEnd},
     proxy::{Proxy, clock, directory::Listed, events::Event},
 };
 
@@ -80,7 +80,7 @@
     /// Reads the configuration once at the start, at a tenth of the price: whoever has a newer one says so. Where a whole fleet
     /// starts at once nobody has one.
     pub(super) async fn read_first_config(self: Rc<Self>) {
-        match self.store.config(Reading::MayBeStale).await {
+        match self.store.config(Consistency::Stale).await {
             Ok(it) => _ = self.take_config(it),
             Err(error) => log::debug!("no first configuration: {error}"),
         }
@@ -114,7 +114,7 @@
         let mut backoff = Backoff { proxy: self, failures: 0 };
         while self.watches(start) {
             let asked = clock::now();
-            let object = match self.store.config(Reading::Newest).await {
+            let object = match self.store.config(Consistency::Linearizable).await {
                 Ok(it) => it,
                 Err(error) => {
                     backoff.failed(&error).await;
@@ -159,7 +159,7 @@
         let presence = self.presence();
         let mut backoff = Backoff { proxy: &self, failures: 0 };
         let listed = loop {
-            match self.store.presences(Reading::MayBeStale).await {
+            match self.store.presences(Consistency::Stale).await {
                 Ok(it) => break it,
                 Err(error) => backoff.failed(&error).await,
             }
@@ -181,14 +181,14 @@
         let mut backoff = Backoff { proxy: self, failures: 0 };
         for look in 0.. {
             sleep(LIST_AGAIN.mul_f64(rand::rng().random_range(0.7..1.3))).await;
-            let reading = if look < STALE_LOOKS { Reading::MayBeStale } else { Reading::Newest };
-            match self.store.presences(reading).await {
+            let consistency = if look < STALE_LOOKS { Consistency::Stale } else { Consistency::Linearizable };
+            match self.store.presences(consistency).await {
                 Ok(it) => {
                     backoff.answered();
                     // A stale listing that holds it is newer than it.
                     let is_listed = it.presences.contains(presence);
                     self.take_list(it);
-                    if is_listed || reading == Reading::Newest {
+                    if is_listed || consistency == Consistency::Linearizable {
                         return;
                     }
                 }
--- a/tests/store_listing.rs
+++ b/tests/store_listing.rs
@@ -6,7 +6,7 @@
     thread,
 };
 
-use jayreach::platform::{PresenceList, Reading, Store, WatchEnd};
+use jayreach::platform::{Consistency, PresenceList, Store, WatchEnd};
 use tokio::task::LocalSet;
 
 /// A store that gives this one answer to all calls.
@@ -49,7 +49,7 @@
           ],\"has_more\":false,\"at_rev\":9}",
     );
 
-    let list = run(store.presences(Reading::Newest)).expect("a listing");
+    let list = run(store.presences(Consistency::Linearizable)).expect("a listing");
 
     assert_eq!(names(&list), (vec!["a", "z"], vec!["b", "c", "", "e", "f\u{fffd}", "", "", ""]));
 }
@@ -58,7 +58,7 @@
 fn a_listing_without_one_good_name_ends() {
     let store = store(b"{\"items\":[{\"metadata\":{}},null],\"has_more\":true,\"at_rev\":9}");
 
-    let list = run(store.presences(Reading::Newest)).expect("a listing");
+    let list = run(store.presences(Consistency::Linearizable)).expect("a listing");
 
     assert_eq!((list.presences.len(), list.skipped.len()), (0, 2));
 }
@@ -70,7 +70,7 @@
             {\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":\"0000000c\",\"routes\":{}}}],\"at_rev\":9}",
     );
 
-    let object = run(store.config(Reading::Newest)).expect("a listing");
+    let object = run(store.config(Consistency::Linearizable)).expect("a listing");
 
     let config = object.config.expect("it is there").expect("it is a configuration").config;
     assert_eq!((config.version, object.revision), (12, 9));
