--- a/standins/tests/many_proxies.rs
+++ b/standins/tests/many_proxies.rs
@@ -11,6 +11,9 @@
 /// Of the eight that a proxy chooses and those that choose it, with room for the unevenness of a hash.
 const MOST_LINKS: usize = 26;
 
+/// After this a fleet that has started asks the store for nothing but watches.
+const SETTLED: Duration = Duration::from_secs(6);
+
 /// Both data centres half each; one fleet at a time, since it is large.
 fn fleet() -> (Site, std::sync::MutexGuard<'static, ()>) {
     static ONE: OnceLock<std::sync::Mutex<()>> = OnceLock::new();
@@ -39,7 +42,7 @@
     let (site, _alone) = fleet();
     // What links and watches the start took more of is given up within seconds.
     let few = eventually(|| site.proxies.iter().all(|it| (8..=MOST_LINKS).contains(&links(it))));
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(SETTLED);
     let before = site.store.calls();
 
     site.store.put_config(config(7, &[("read", route("/read/", "idempotent", 2, &[("desk", 1)]))]));
@@ -72,6 +75,8 @@
 #[test]
 fn one_that_starts_again_serves_at_once_and_costs_the_store_little() {
     let (mut site, _alone) = fleet();
+    // The others list each other once more a second or two after their start.
+    thread::sleep(SETTLED);
     let before = site.store.calls();
 
     site.proxies[3].restart().expect("a process");
