The endpoint's standing without copying its row; one way to ask whether it takes work

Cause: each reply between proxies told the standing through a copy of the endpoint's id and service; the filter for an endpoint that takes work stood three times; Push had become generic though proxies push no rows; what a repeat leaves in the bucket was worked out in two steps. No change of behaviour: the same terms, fewer copies.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -107,10 +107,9 @@
     pub fn allows(&self, repeat: Repeat, now: Instant) -> bool {
         let recent = |it: &(u32, Instant)| now.saturating_duration_since(it.1) < WANTED_FOR;
         let yields = self.wanted.iter().take_while(|it| it.0 < repeat.rank).any(recent);
-        let kept = if yields || !repeat.call { self.size() * KEPT_PART } else { 0.0 };
-        // A caller's repeat yields to calls and to more urgent work alike.
-        let kept = if yields && !repeat.call { kept * 2.0 } else { kept };
-        self.tokens >= 1.0 + kept
+        // A caller's repeat leaves a part to calls, and any repeat one to more urgent work.
+        let parts = u32::from(yields) + u32::from(!repeat.call);
+        self.tokens >= 1.0 + self.size() * KEPT_PART * f64::from(parts)
     }
 
     /// Whether no repeat may arrive, of whatever work.
--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -18,7 +18,6 @@
 /// Beyond that one more in each data centre watches after each such time: all at once would be a surge of calls when
 /// the store comes back.
 const STEP: Duration = Duration::from_millis(100);
-
 /// How long the others are waited for by one that has no configuration yet, and no word of one.
 const FIRST: Duration = Duration::from_secs(3);
 
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -155,11 +155,15 @@
 }
 
 impl State {
+    /// The endpoint, while it takes work.
+    fn serving(&self) -> Option<&Endpoint> {
+        self.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving)
+    }
+
     /// Accounts for the slots until now; to be called whenever they may be taken otherwise than before.
     fn account(&mut self, now: Instant) {
-        let serving = self.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
         let working = count(self.ledger.running().count());
-        let next = serving.map_or_else(Occupancy::default, |it| Occupancy {
+        let next = self.serving().map_or_else(Occupancy::default, |it| Occupancy {
             slots: it.announced.slots,
             usable: it.usable_slots(now),
             offered: count(self.ledger.len()) - working,
@@ -215,7 +219,7 @@
     /// The endpoint, while it takes work.
     pub fn serving(&self) -> Option<Serving> {
         let state = self.state.borrow();
-        let it = state.endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving)?;
+        let it = state.serving()?;
         Some(Serving {
             id: it.announced.id.clone(),
             service: it.announced.service.clone(),
@@ -224,6 +228,11 @@
         })
     }
 
+    /// How far the endpoint is trusted, while it takes work; told with every reply, so nothing is copied for it.
+    pub fn standing(&self) -> Standing {
+        self.state.borrow().serving().map(|it| it.record.standing()).unwrap_or_default()
+    }
+
     /// The endpoint as it stands in this proxy's row.
     pub fn endpoint_row(&self) -> Option<EndpointRow> {
         self.serving().map(|it| EndpointRow { id: it.id, slots: it.slots })
--- a/src/proxy/spread.rs
+++ b/src/proxy/spread.rs
@@ -45,8 +45,7 @@
 impl Proxy {
     /// What of this proxy changes often.
     fn current(&self) -> Current {
-        let standing = self.guard.serving().map(|it| it.standing).unwrap_or_default();
-        Current { version: self.version(), turns: self.turns.get(), standing }
+        Current { version: self.version(), turns: self.turns.get(), standing: self.guard.standing() }
     }
 
     /// [`Self::current`] with whose it is.
--- a/src/rows/exchange.rs
+++ b/src/rows/exchange.rs
@@ -61,9 +61,9 @@
 
 /// News, sent at once to a few peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Push<E = Vec<EndpointRow>> {
+pub struct Push {
     /// The rows that changed.
-    pub rows: Vec<Row<E>>,
+    pub rows: Vec<Row>,
     /// The version the sender has in force.
     pub version: Version,
     /// Where the sender's peers reach it, for fetching that version.
