--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -9,17 +9,24 @@
 
 use std::{
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use rstest::rstest;
-use standins::platform::{
-    desk::{WORK, two_routes},
-    site::{Proxy, Relays, Site, eventually},
+use standins::{
+    deployment::repository_file,
+    fleet::{Fleet, status},
+    platform::{
+        desk::{WORK, two_routes},
+        site::{Proxy, Relays, Site, eventually},
+    },
+    relay::Relay,
 };
 
 /// In how many seconds a change must be in force once the store has accepted it.
 const IN_FORCE_S: f64 = 2.0;
+/// The same for daemons, which serve the program's own interface.
+const IN_FORCE_AT_DAEMONS: Duration = Duration::from_secs(6);
 /// After a change the watches are taken up again within this time.
 const WATCHED_AGAIN: Duration = Duration::from_millis(700);
 /// The change comes this long after the silence: the earliest time for which the bound of a change holds is three
@@ -83,3 +90,35 @@
         .collect();
     assert!(late.is_empty(), "in force only {late:.2?} s after it was accepted");
 }
+
+/// Daemons watch in the same way, at their own store.
+#[test]
+fn a_change_reaches_daemons_in_time_though_open_connections_went_silent() {
+    let mut fleet = Fleet::start().expect("a store");
+    let relay = Relay::start(fleet.store).expect("a relay");
+    fleet.store = relay.address;
+    for data_centre in ["dc-1", "dc-2"] {
+        fleet.add_daemon(data_centre).expect("a daemon");
+    }
+    let sample = repository_file("samples/prairie.toml");
+    fleet.apply(&sample).expect("the sample is accepted");
+    let has = |version: u64| {
+        fleet.daemons.iter().all(|it| status(it.local).is_ok_and(|seen| seen["config_version"] == version))
+    };
+    assert!(eventually(|| has(1)));
+    thread::sleep(WATCHED_AGAIN);
+    let targets = std::fs::read_to_string(&sample).expect("the sample");
+    let changed = std::env::temp_dir().join(format!("jayreach-late-{}.toml", std::process::id()));
+    std::fs::write(&changed, targets.replace("importance = 30", "importance = 20")).expect("a file");
+
+    relay.forget_open();
+    let begun = Instant::now();
+    // It waits until the change is in force.
+    let applied = fleet.apply(&changed);
+    let after = begun.elapsed();
+
+    assert!(applied.is_ok() && has(2), "{applied:?}");
+    assert!(after < IN_FORCE_AT_DAEMONS, "in force after {after:?}");
+    std::fs::remove_file(changed).expect("the file goes");
+    fleet.close();
+}
