Watches at the store are short and of unlike length: a silent connection is noticed in time for a change

Change: a watch lasts 1.2 to 2 s, drawn anew each time, and is given 0.6 s more; the pause after a first failure is 0.15 to 0.3 s, as its constant said (it was twice that); at least six watch where there are few data centres.

--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -12,8 +12,19 @@
 /// How many watch in each data centre: with one in three of them unable to reach the store, at five data centres the
 /// chance that none can is 1 in 10^7.
 const WATCHERS: usize = 3;
-/// How old the last confirmation may become while some watch: a watch of five seconds, and as much until word of its
-/// answer has come round.
+/// How many watch at least in a fleet of few data centres: with one in three unable to reach the store, none can in 1 of
+/// 700 cases.
+const WATCHERS_IN_ALL: usize = 6;
+/// The shortest and the longest watch. A connection may go silent for good without a word, and a change must be in force
+/// two seconds after it was accepted: with watches of 5 s it was after 5.9 s, with these after 1.4 s at most (four
+/// proxies behind relays, twelve changes a second after the silence).
+const SHORTEST_WAIT: Duration = Duration::from_millis(1_200);
+const LONGEST_WAIT: Duration = Duration::from_millis(2_000);
+/// How much later than asked a watch may end before its connection is held to be silent: the store answers in 4 ms, and
+/// up to 60 times slower when it is in trouble.
+const LATE: Duration = Duration::from_millis(600);
+/// How old the last confirmation may become while some watch: the longest watch, and eight rounds of exchanges until
+/// word of its answer has come round.
 const SILENCE: Duration = Duration::from_secs(11);
 /// Beyond that one more in each data centre watches after each such time: all at once would be a surge of calls when
 /// the store comes back.
@@ -21,6 +32,24 @@
 /// How long the others are waited for by one that has no configuration yet, and no word of one.
 const FIRST: Duration = Duration::from_secs(3);
 
+/// One wait at the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watch {
+    /// How long the store is asked to wait for a change.
+    pub wait: Duration,
+    /// When its connection is held to be silent.
+    pub limit: Duration,
+}
+
+impl Watch {
+    /// A watch of a length by `luck`, from 0 to 1. After a change all take up their watches at the same moment; lengths that
+    /// differ spread them out, so that soon after all connections went silent one of them is opened anew.
+    pub fn by_luck(luck: f64) -> Self {
+        let wait = SHORTEST_WAIT + (LONGEST_WAIT - SHORTEST_WAIT).mul_f64(luck);
+        Self { wait, limit: wait + LATE }
+    }
+}
+
 /// The place of `me` among the members of a data centre, itself not among them, by a hash of their keys.
 pub fn rank(me: u64, others: impl Iterator<Item = u64>) -> usize {
     let score = |key: u64| (mix(&[key]), key);
@@ -28,17 +57,18 @@
     others.filter(|it| score(*it) < mine).count()
 }
 
-/// Whether the member with that place watches, if the newest confirmation anyone had is that old.
-pub fn watches(rank: usize, confirmed_ago: Duration) -> bool {
-    is_turn(rank, confirmed_ago, SILENCE)
+/// Whether the member with that place in one of `data_centres` watches, if the newest confirmation anyone had is that old.
+pub fn watches(rank: usize, data_centres: usize, confirmed_ago: Duration) -> bool {
+    is_turn(rank, data_centres, confirmed_ago, SILENCE)
 }
 
 /// Whether the member with that place watches, if it has had no confirmation since its start.
-pub fn watches_first(rank: usize, started_ago: Duration) -> bool {
-    is_turn(rank, started_ago, FIRST)
+pub fn watches_first(rank: usize, data_centres: usize, started_ago: Duration) -> bool {
+    is_turn(rank, data_centres, started_ago, FIRST)
 }
 
-fn is_turn(rank: usize, silent_for: Duration, limit: Duration) -> bool {
-    let Some(later) = rank.checked_sub(WATCHERS) else { return true };
+fn is_turn(rank: usize, data_centres: usize, silent_for: Duration, limit: Duration) -> bool {
+    let watchers = WATCHERS.max(WATCHERS_IN_ALL.div_ceil(data_centres.max(1)));
+    let Some(later) = rank.checked_sub(watchers) else { return true };
     silent_for > limit + STEP.saturating_mul(u32::try_from(later).unwrap_or(u32::MAX))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::{
+    decide::watchers::Watch,
     platform::config::{ParsedConfig, parse_config},
     proxy::{self, CallError},
 };
@@ -17,8 +18,8 @@
 const CONFIG_NAME: &str = "main";
 /// The kind of our own objects: one for each proxy, so that proxies find each other.
 const PRESENCE_KIND: &str = "jayreach-proxies";
-/// How long a call may take, beside the time a watch asks to wait: the platform answers in 4 ms,
-/// and up to 60 times slower when it is in trouble.
+/// How long a call may take that isn't a watch: the platform answers in 4 ms, and up to 60 times slower when it is
+/// in trouble.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A revision of the store; goes up with each change of any object.
@@ -176,7 +177,7 @@
     /// See [`StoreFailure`].
     pub async fn config(&self, consistency: Consistency) -> Result<ConfigObject, StoreFailure> {
         let path = format!("/objects/{CONFIG_KIND}?{}", consistency.query());
-        let (status, body) = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
+        let (status, body) = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
         if status != StatusCode::OK {
             return Err(StoreFailure::Refused(status.as_u16()));
         }
@@ -187,14 +188,14 @@
         Ok(ConfigObject { config: ours.map(|it| parse_config(it.spec.get())), revision: page.at_rev })
     }
 
-    /// Waits up to `wait` for the configuration to change after `revision`.
+    /// Waits for the configuration to change after `revision`.
     ///
     /// # Errors
     ///
     /// See [`StoreFailure`].
-    pub async fn watch_config(&self, revision: Revision, wait: Duration) -> Result<WatchEnd, StoreFailure> {
-        let path = format!("/objects/{CONFIG_KIND}?watch={revision}&wait_ms={}", wait.as_millis());
-        let (status, body) = self.call(Method::GET, &path, Bytes::new(), wait).await?;
+    pub async fn watch_config(&self, revision: Revision, watch: Watch) -> Result<WatchEnd, StoreFailure> {
+        let path = format!("/objects/{CONFIG_KIND}?watch={revision}&wait_ms={}", watch.wait.as_millis());
+        let (status, body) = self.call(Method::GET, &path, Bytes::new(), watch.limit).await?;
         match status {
             StatusCode::OK => (),
             StatusCode::GONE => return Ok(WatchEnd::HistoryGone),
@@ -220,7 +221,7 @@
         loop {
             let from = after.as_ref().map_or_else(String::new, |it| format!("&after={it}"));
             let path = format!("/objects/{PRESENCE_KIND}?{}{from}", consistency.query());
-            let (status, body) = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
+            let (status, body) = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
             if status != StatusCode::OK {
                 return Err(StoreFailure::Refused(status.as_u16()));
             }
@@ -255,12 +256,12 @@
         let object = NewObject { metadata: NewMetadata { name: &presence.name }, spec: presence };
         let body = Bytes::from(serde_json::to_vec(&object)?);
         let kind = format!("/objects/{PRESENCE_KIND}");
-        let (status, _) = self.call(Method::POST, &kind, body.clone(), Duration::ZERO).await?;
+        let (status, _) = self.call(Method::POST, &kind, body.clone(), CALL_TIMEOUT).await?;
         if status != StatusCode::CONFLICT {
             return done(status);
         }
         let path = format!("{kind}/{}", presence.name);
-        let (status, _) = self.call(Method::PUT, &path, body, Duration::ZERO).await?;
+        let (status, _) = self.call(Method::PUT, &path, body, CALL_TIMEOUT).await?;
         done(status)
     }
 
@@ -271,7 +272,7 @@
     /// See [`StoreFailure`].
     pub async fn remove_presence(&self, name: &str) -> Result<(), StoreFailure> {
         let path = format!("/objects/{PRESENCE_KIND}/{name}");
-        let (status, _) = self.call(Method::DELETE, &path, Bytes::new(), Duration::ZERO).await?;
+        let (status, _) = self.call(Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await?;
         if status == StatusCode::NOT_FOUND { Ok(()) } else { done(status) }
     }
 
@@ -280,10 +281,10 @@
         method: Method,
         path: &str,
         body: Bytes,
-        wait: Duration,
+        limit: Duration,
     ) -> Result<(StatusCode, Bytes), StoreFailure> {
         metrics::counter!("jayreach_store_calls_total").increment(1);
-        let resp = proxy::call(self.address, method, path, body, CALL_TIMEOUT + wait).await?;
+        let resp = proxy::call(self.address, method, path, body, limit).await?;
         Ok((resp.status(), resp.into_body()))
     }
 }
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -121,6 +121,17 @@
         self.table.down()
     }
 
+    /// How many data centres the live proxies are in, this one included.
+    pub fn data_centres(&self) -> usize {
+        let mut names: Vec<&str> = vec![&self.own().data_centre];
+        for (_, row) in self.members() {
+            if let Err(at) = names.binary_search(&&*row.data_centre) {
+                names.insert(at, &row.data_centre);
+            }
+        }
+        names.len()
+    }
+
     /// How many proxies guard endpoints of `service`, as far as this one knows.
     pub fn guards_of(&mut self, service: &str) -> usize {
         let guards = self.guards();
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -9,20 +9,17 @@
 use tokio::time::sleep;
 
 use crate::{
-    decide::watchers,
+    decide::watchers::{self, Watch},
     platform::{ConfigObject, Consistency, PresenceList, PresenceObject, StoreFailure, WatchEnd},
     proxy::{Proxy, clock, directory::Listed, events::Event},
 };
 
-/// How long a watch waits: its answer tells the whole fleet that the store was heard, and a connection may be silent
-/// for good. Each call has its price, but few proxies watch.
-const WATCH: Duration = Duration::from_secs(5);
 /// How often a proxy that doesn't watch looks whether it should.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// How long a proxy that has just started looks for the others before it decides whether to watch: alone it would always.
 const JOIN_WAIT: Duration = Duration::from_millis(2_500);
 /// The first pause after a failed call, and the longest: a change must be in force two seconds after
-/// the store is back, and each refused call has its price.
+/// the store is back, or after a connection to it went silent, and each refused call has its price.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -61,7 +58,7 @@
             let silent_ms = self.silent_ms();
             self.proxy.events.emit(&Event::Store { reachable: false, why: &why, failures: 1, silent_ms });
         }
-        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(8)).min(LONGEST_PAUSE);
+        let pause = FIRST_PAUSE.saturating_mul(1 << (self.failures - 1).min(8)).min(LONGEST_PAUSE);
         sleep(pause.mul_f64(rand::rng().random_range(0.6..1.2))).await;
     }
 
@@ -112,9 +109,10 @@
         let data_centre = &directory.own().data_centre;
         let near = directory.members().filter(|it| it.1.data_centre == *data_centre).map(|it| it.0);
         let rank = watchers::rank(directory.own_key(), near);
+        let data_centres = directory.data_centres();
         match self.confirmed_ago() {
-            Some(it) => watchers::watches(rank, it),
-            None => watchers::watches_first(rank, clock::now().saturating_duration_since(start)),
+            Some(it) => watchers::watches(rank, data_centres, it),
+            None => watchers::watches_first(rank, data_centres, clock::now().saturating_duration_since(start)),
         }
     }
 
@@ -150,7 +148,8 @@
             let mut revision = self.take_config(object);
             self.confirm(clock::now().saturating_duration_since(asked));
             while self.watches(start) {
-                match self.store.watch_config(revision, WATCH).await {
+                let watch = Watch::by_luck(rand::rng().random());
+                match self.store.watch_config(revision, watch).await {
                     Ok(WatchEnd::Went(object)) => {
                         backoff.answered();
                         let changed = object.config.is_some();
--- a/tests/store_listing.rs
+++ b/tests/store_listing.rs
@@ -6,7 +6,10 @@
     thread,
 };
 
-use jayreach::platform::{Consistency, PresenceList, Store, WatchEnd};
+use jayreach::{
+    decide::watchers::Watch,
+    platform::{Consistency, PresenceList, Store, WatchEnd},
+};
 use tokio::task::LocalSet;
 
 /// A store that gives this one answer to all calls.
@@ -83,7 +86,7 @@
             {\"object\":{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":\"zz\"}},\"is_deleted\":false}],\"at_rev\":11}",
     );
 
-    let end = run(store.watch_config(9, std::time::Duration::ZERO)).expect("events");
+    let end = run(store.watch_config(9, Watch::by_luck(0.0))).expect("events");
 
     let WatchEnd::Went(object) = end else { panic!("the history is there") };
     assert_eq!((object.revision, object.config.map(|it| it.is_err())), (11, Some(true)));
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -5,7 +5,7 @@
 use jayreach::{
     decide::{
         subset::{Member, choose},
-        watchers::{rank, watches, watches_first},
+        watchers::{Watch, rank, watches, watches_first},
     },
     util::mix,
 };
@@ -128,8 +128,9 @@
 
 /// How many proxies watch of a fleet in which `confirmed_ago` is how old the newest confirmation is.
 fn watchers(fleet: &[Vm], confirmed_ago: Duration) -> usize {
+    let data_centres = (0..5).filter(|it| fleet.iter().any(|vm| vm.data_centre == *it)).count();
     let near = |me: Vm| fleet.iter().filter(move |it| it.key != me.key && it.data_centre == me.data_centre);
-    fleet.iter().filter(|me| watches(rank(me.key, near(**me).map(|it| it.key)), confirmed_ago)).count()
+    fleet.iter().filter(|me| watches(rank(me.key, near(**me).map(|it| it.key)), data_centres, confirmed_ago)).count()
 }
 
 #[rstest]
@@ -153,9 +154,9 @@
 
 #[test]
 fn a_proxy_without_a_configuration_waits_for_the_watchers_before_it_asks_the_store() {
-    let wait = (0..200u64).map(Duration::from_millis).map(|it| it * 100).find(|it| watches_first(40, *it));
+    let wait = (0..200u64).map(Duration::from_millis).map(|it| it * 100).find(|it| watches_first(40, 5, *it));
 
-    assert!(watches_first(0, Duration::ZERO));
+    assert!(watches_first(0, 5, Duration::ZERO));
     assert_eq!(wait, Some(Duration::from_millis(6_800)));
 }
 
@@ -171,3 +172,33 @@
         assert!(watchers(&fleet, Duration::from_secs(1)) >= data_centres);
     }
 }
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn six_watch_where_there_are_few_data_centres(#[case] data_centres: usize) {
+    let fleet: Vec<Vm> = fleet(60).into_iter().filter(|it| it.data_centre < data_centres).collect();
+
+    assert_eq!(watchers(&fleet, Duration::from_secs(5)), 6);
+}
+
+/// A change need not be in force until three seconds after all connections went silent, and not until two seconds after it
+/// was accepted. The worst case is a watch that began just before the silence.
+#[rstest]
+#[case(0.0)]
+#[case(0.5)]
+#[case(1.0)]
+fn a_silent_connection_is_noticed_in_time_for_a_change(#[case] luck: f64) {
+    let longest_pause_before_the_next_call = Duration::from_millis(300);
+
+    let watch = Watch::by_luck(luck);
+
+    assert!(watch.wait < watch.limit);
+    assert!(watch.limit + longest_pause_before_the_next_call < Duration::from_secs(3), "{watch:?}");
+}
+
+#[test]
+fn watches_that_begin_together_do_not_end_together() {
+    assert!(Watch::by_luck(0.0).wait < Watch::by_luck(0.5).wait);
+    assert!(Watch::by_luck(0.5).wait < Watch::by_luck(1.0).wait);
+}
