--- a/src/daemon/watcher.rs
+++ b/src/daemon/watcher.rs
@@ -28,8 +28,9 @@
 
 /// How many daemons of a data centre wait at the store.
 const WATCHERS: usize = 2;
-/// How long one wait lasts.
-const WATCH: Duration = Duration::from_secs(30);
+/// How long one wait lasts. A connection may go silent for good without a word, and a change must be in force within six
+/// seconds: with waits of 30 s it was not after 30 s (two daemons behind a relay).
+const WATCH: Duration = Duration::from_secs(3);
 /// How often a daemon looks whether it has become a watcher.
 const LOOK: Duration = Duration::from_secs(1);
 /// How often a daemon that does not wait reads the root all the same.
@@ -53,7 +54,8 @@
             thread::sleep(LOOK);
             continue;
         }
-        let wait = if watches { WATCH } else { Duration::ZERO };
+        // All take up their waits at the same moment after a change; the jitter spreads them out.
+        let wait = if watches { WATCH.mul_f64(jitter()) } else { Duration::ZERO };
         read_at = Instant::now();
         match daemon.platform.watch(ROOT_KEY, seen, wait) {
             Ok(Some(object)) => {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -6,8 +6,11 @@
 
 use crate::store::{Expect, Object, ObjectStore, ObjectVersion, StoreError};
 
-/// How long a call may take, beside the time a watch asks to wait.
+/// How long a call may take that isn't a watch.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// How much later than asked a watch may end before its connection is held to be silent: the store answers in
+/// milliseconds, and one lost packet costs a second.
+const WATCH_SLACK: Duration = Duration::from_millis(1_200);
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -28,13 +31,13 @@
         target: &str,
         condition: Option<(&'static str, String)>,
         body: &[u8],
-        wait: Duration,
+        limit: Duration,
     ) -> Result<Response, StoreError> {
         let url = format!("{}{target}", self.base);
         let mut req = attohttpc::RequestBuilder::new(method, url)
             .connect_timeout(CONNECT_TIMEOUT)
-            .read_timeout(CALL_TIMEOUT + wait)
-            .timeout(CALL_TIMEOUT + wait)
+            .read_timeout(limit)
+            .timeout(limit)
             .follow_redirects(false);
         if let Some((name, value)) = condition {
             req = req.header(name, value);
@@ -45,7 +48,7 @@
 
 impl ObjectStore for StoreClient {
     fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
-        let resp = self.call(Method::GET, &format!("/objects/{key}"), None, &[], Duration::ZERO)?;
+        let resp = self.call(Method::GET, &format!("/objects/{key}"), None, &[], CALL_TIMEOUT)?;
         match resp.status().as_u16() {
             404 => Ok(None),
             _ => object(resp).map(Some),
@@ -53,7 +56,7 @@
     }
 
     fn list(&self, prefix: &str) -> Result<Vec<Box<str>>, StoreError> {
-        let resp = self.call(Method::GET, &format!("/objects?prefix={prefix}"), None, &[], Duration::ZERO)?;
+        let resp = self.call(Method::GET, &format!("/objects?prefix={prefix}"), None, &[], CALL_TIMEOUT)?;
         let bytes = body(resp)?;
         serde_json::from_slice(&bytes).map_err(|it| StoreError::NoAnswer(it.to_string().into()))
     }
@@ -64,7 +67,7 @@
             Expect::Version(it) => Some(("If-Match", format!("\"{it}\""))),
             Expect::Anything => None,
         };
-        let resp = self.call(Method::PUT, &format!("/objects/{key}"), condition, value, Duration::ZERO)?;
+        let resp = self.call(Method::PUT, &format!("/objects/{key}"), condition, value, CALL_TIMEOUT)?;
         match resp.status().as_u16() {
             200 | 201 => version(&resp),
             412 => Err(StoreError::Conflict),
@@ -73,7 +76,7 @@
     }
 
     fn remove(&self, key: &str) -> Result<(), StoreError> {
-        let resp = self.call(Method::DELETE, &format!("/objects/{key}"), None, &[], Duration::ZERO)?;
+        let resp = self.call(Method::DELETE, &format!("/objects/{key}"), None, &[], CALL_TIMEOUT)?;
         match resp.status().as_u16() {
             200 | 204 | 404 => Ok(()),
             it => Err(StoreError::NoAnswer(format!("status {it}").into())),
@@ -82,7 +85,8 @@
 
     fn watch(&self, key: &str, after: ObjectVersion, wait: Duration) -> Result<Option<Object>, StoreError> {
         let target = format!("/objects/{key}?after={after}&wait_ms={}", wait.as_millis());
-        let resp = self.call(Method::GET, &target, None, &[], wait)?;
+        let limit = if wait.is_zero() { CALL_TIMEOUT } else { wait + WATCH_SLACK };
+        let resp = self.call(Method::GET, &target, None, &[], limit)?;
         match resp.status().as_u16() {
             304 | 404 => Ok(None),
             _ => object(resp).map(Some),
