The health path is the one that the configuration names

Cause: a proxy that starts again beside a living endpoint asked /health whatever the configuration says, and found no endpoint until its next announcement. Change: health paths of services are decoded (only unusual ones are kept); one that is no path is a finding, and the usual one holds. Routes are in force whatever the services say (eight cases).

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use hyper::http::uri::PathAndQuery;
 use serde::{Deserialize, Deserializer, Serialize, de};
 use serde_json::value::RawValue;
 use thiserror::Error;
 
 use crate::{
-    platform::entries::Entries,
-    proxy::routes::{Cluster, Config, Limits, Repeat, Route, Version},
+    platform::{entries::Entries, health::USUAL_HEALTH_PATH},
+    proxy::routes::{Cluster, Config, HealthPath, Limits, Repeat, Route, ServiceName, Version},
 };
 
 /// The object's `spec`, with each part as it came: one that isn't understood must not take the rest along.
@@ -22,6 +23,13 @@
     routes: Entries<&'a RawValue>,
     #[serde(borrow)]
     limits: Option<&'a RawValue>,
+    #[serde(borrow)]
+    services: Option<&'a RawValue>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ServiceSpec {
+    health_path: Option<Box<str>>,
 }
 
 /// Where a route applies: enough to answer its callers, even if the rest isn't understood.
@@ -109,7 +117,41 @@
             Limits::default()
         }
     };
-    Ok(ParsedConfig { config: Config::new(spec.version, routes, limits), findings })
+    let health_paths = spec.services.map(|it| parse_services(it.get(), &mut findings)).unwrap_or_default();
+    let config = Config::new(spec.version, routes, limits).with_health_paths(health_paths);
+    Ok(ParsedConfig { config, findings })
+}
+
+/// Decodes the health paths of services that have an unusual one.
+fn parse_services(raw: &str, findings: &mut Vec<ConfigFinding>) -> Vec<(ServiceName, HealthPath)> {
+    let services: Entries<&RawValue> = match serde_json::from_str(raw) {
+        Ok(it) => it,
+        Err(error) => {
+            findings.push(finding("services", format!("the usual health paths hold: {error}")));
+            return Vec::new();
+        }
+    };
+    let mut paths = Vec::new();
+    for (name, raw) in services.0 {
+        match parse_health_path(raw.get()) {
+            Ok(None) => (),
+            Ok(Some(it)) => paths.push((name, it)),
+            Err(error) => {
+                let place = format!("services.{name}");
+                findings.push(finding(&place, format!("the usual health path holds: {error}")));
+            }
+        }
+    }
+    paths
+}
+
+/// Decodes what of a service matters here: its health path, unless that is the usual one.
+fn parse_health_path(raw: &str) -> Result<Option<HealthPath>, serde_json::Error> {
+    let Some(path) = serde_json::from_str::<ServiceSpec>(raw)?.health_path else { return Ok(None) };
+    if !path.starts_with('/') || path.parse::<PathAndQuery>().is_err() {
+        return Err(de::Error::custom(format_args!("`{path}` is no path")));
+    }
+    Ok(Some(path).filter(|it| **it != *USUAL_HEALTH_PATH))
 }
 
 fn finding(place: &str, problem: impl Into<Box<str>>) -> ConfigFinding {
--- a/src/platform/health.rs
+++ b/src/platform/health.rs
@@ -10,12 +10,13 @@
 };
 
 /// Where endpoints answer health questions unless the configuration says otherwise.
-const HEALTH_PATH: &str = "/health";
+pub(super) const USUAL_HEALTH_PATH: &str = "/health";
 
 /// Asks the endpoint at `address` which incarnation it is and how many slots it has; `None` if it
-/// does not answer well.
-pub async fn health(address: SocketAddr, limit: Duration) -> Option<(Box<str>, u32)> {
-    match proxy::call(address, Method::GET, HEALTH_PATH, Bytes::new(), limit).await {
+/// does not answer well. It answers at `path`, or at the usual one.
+pub async fn health(address: SocketAddr, path: Option<&str>, limit: Duration) -> Option<(Box<str>, u32)> {
+    let path = path.unwrap_or(USUAL_HEALTH_PATH);
+    match proxy::call(address, Method::GET, path, Bytes::new(), limit).await {
         Ok(it) if it.status() == StatusCode::OK => {
             let id = health_path_answer(it.headers())?.into();
             let (_, _, slots) = endpoint_load(it.headers())?;
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -155,7 +155,9 @@
     /// Asks the endpoint's address which incarnation it is.
     async fn ask_health(self: &Rc<Self>) {
         let settings = Rc::clone(&self.settings.borrow());
-        let health = platform::health(settings.endpoint, HEALTH_TIMEOUT).await;
+        let config = self.config.borrow().clone();
+        let path = config.as_ref().and_then(|it| it.health_path(&settings.service));
+        let health = platform::health(settings.endpoint, path, HEALTH_TIMEOUT).await;
         let Some((id, slots)) = health else { return };
         self.guard.found(Announced {
             id: EndpointId { name: id, born: None },
--- a/src/proxy/routes.rs
+++ b/src/proxy/routes.rs
@@ -11,6 +11,9 @@
 /// A service's name.
 pub type ServiceName = Box<str>;
 
+/// A path with its query, which begins with a slash and is valid in a request.
+pub type HealthPath = Box<str>;
+
 /// Whether work may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -94,13 +97,29 @@
     routes: Vec<Route>,
     /// What callers may send.
     pub limits: Limits,
+    /// Where endpoints of a service answer health questions, if not at the usual path; sorted by service.
+    health_paths: Vec<(ServiceName, HealthPath)>,
 }
 
 impl Config {
     /// A configuration of these routes, in any order.
     pub fn new(version: Version, mut routes: Vec<Route>, limits: Limits) -> Self {
         routes.sort_by(|a, b| key(a).cmp(&key(b)));
-        Self { version, routes, limits }
+        Self { version, routes, limits, health_paths: Vec::new() }
+    }
+
+    /// The same with health paths of services, in any order.
+    #[must_use]
+    pub fn with_health_paths(mut self, mut paths: Vec<(ServiceName, HealthPath)>) -> Self {
+        paths.sort_unstable();
+        self.health_paths = paths;
+        self
+    }
+
+    /// Where endpoints of `service` answer health questions, if the operator says so.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        let at = self.health_paths.binary_search_by(|it| (*it.0).cmp(service)).ok()?;
+        Some(&self.health_paths[at].1)
     }
 
     /// The routes, sorted by host and prefix.
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -69,6 +69,7 @@
 
 struct State {
     mode: EndpointMode,
+    health_path: String,
     work: Duration,
     instance: String,
     /// When this life began, in Unix milliseconds.
@@ -96,6 +97,7 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let state = State {
             mode: EndpointMode::Good,
+            health_path: "/health".into(),
             work,
             instance: instance.into(),
             born: unix_millis(),
@@ -200,11 +202,16 @@
         Ok(answer.map_or(0, |it| it.status()))
     }
 
+    /// Answers health questions at another path from now on.
+    pub fn move_health(&self, path: &str) {
+        self.lock().health_path = path.into();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(req)) = http::read(&mut reader) {
-            if req.second() == "/health" {
+            if req.second() == self.lock().health_path {
                 let instance = self.lock().instance.clone();
                 let status = if self.lock().draining { 503 } else { 200 };
                 let load = format!("0,0,{}", self.slots);
--- a/standins/tests/stopping.rs
+++ b/standins/tests/stopping.rs
@@ -7,8 +7,9 @@
 };
 
 use rustix::process::Signal;
+use serde_json::json;
 use standins::platform::{
-    desk::{arrivals, ask, call, cause, runs, set_modes, site},
+    desk::{arrivals, ask, call, cause, runs, set_modes, site, two_routes},
     endpoint::EndpointMode,
     http,
     site::{Proxy, Site, eventually},
@@ -138,3 +139,19 @@
     let found = eventually(|| site.proxies[0].status()["row"]["endpoint"]["id"]["name"] == "i-1");
     assert!(found, "its health path tells which incarnation it is");
 }
+
+#[test]
+fn a_guard_that_restarts_asks_the_health_path_that_the_configuration_names() {
+    let mut site = site();
+    let service = site.proxies[0].endpoint.service().to_owned();
+    site.proxies[0].endpoint.move_health("/live?deep=1");
+    let mut config = two_routes(9);
+    config["services"] = json!({ service: {"health_path": "/live?deep=1"} });
+    site.store.put_config(config);
+    assert!(eventually(|| site.proxies.iter().all(|it| it.status()["row"]["version"] == 9)));
+    site.proxies[0].silence_endpoint();
+
+    site.proxies[0].restart().expect("a proxy");
+
+    assert!(eventually(|| site.proxies[0].status()["row"]["endpoint"]["id"]["name"] == "i-1"));
+}
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -183,6 +183,26 @@
     assert!(announced("i-1", b"\xff\xfe", NOW).is_err());
 }
 
+/// What becomes of the `services` of a configuration: the health path of `x`, and the places of findings.
+#[rstest]
+#[case(r#"{"x":{"health_path":"/live?deep=1","tls":false}}"#, Some("/live?deep=1"), &[])]
+#[case(r#"{"x":{"health_path":"/health"}}"#, None, &[])]
+#[case(r#"{"x":{}}"#, None, &[])]
+#[case(r#"{"x":{"health_path":"no path"}}"#, None, &["services.x"])]
+#[case(r#"{"x":{"health_path":"/a b"}}"#, None, &["services.x"])]
+#[case(r#"{"x":{"health_path":"/live"},"y":7}"#, Some("/live"), &["services.y"])]
+#[case("[]", None, &["services"])]
+#[case("null", None, &[])]
+fn health_paths_are_decoded(#[case] services: &str, #[case] path: Option<&str>, #[case] places: &[&str]) {
+    let spec = CONFIG.replace(r#"{"x":{"health_path":"/health"}}"#, services);
+
+    let parsed = parse_config(&spec).expect("it is a configuration");
+
+    assert_eq!(parsed.config.health_path("x"), path);
+    assert_eq!(parsed.findings.iter().map(|it| &*it.place).collect::<Vec<_>>(), places);
+    assert_eq!(parsed.config.routes().len(), 2, "the routes are in force whatever the services say");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
