--- /dev/null
+++ b/src/proxy/join.rs
@@ -0,0 +1,89 @@
+//! How a proxy finds the others at its start: their objects in the platform's store, and its own among them.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::RngExt as _;
+use tokio::time::sleep;
+
+use crate::{
+    platform::{Consistency, PresenceList, PresenceObject},
+    proxy::{Proxy, backoff::Backoff, clock, directory::Listed},
+};
+
+/// How long after its own object was written a proxy lists the others again; at that time a fleet that starts for the
+/// first time is complete.
+const LIST_AGAIN: Duration = Duration::from_millis(1_000);
+/// How many such listings may be stale ones, which cost a tenth: one that lags by seconds has caught up by then.
+const STALE_LOOKS: u32 = 4;
+
+impl Proxy {
+    /// Finds the others, and says where this proxy is unless the store has that from an earlier run. Of two that start
+    /// together for the first time, the one that lists later sees the other.
+    pub(super) async fn join(self: Rc<Self>) {
+        let presence = self.presence();
+        let mut backoff = Backoff::new(&self);
+        let listed = loop {
+            match self.store.presences(Consistency::Stale).await {
+                Ok(it) => break it,
+                Err(error) => backoff.failed(&error).await,
+            }
+        };
+        backoff.answered();
+        let is_listed = listed.presences.contains(&presence);
+        self.take_list(listed);
+        if is_listed {
+            return;
+        }
+        while let Err(error) = self.store.put_presence(&presence).await {
+            backoff.failed(&error).await;
+        }
+        self.list_after(&presence).await;
+    }
+
+    /// Lists the others once more, as they are after this proxy's own object was written.
+    async fn list_after(&self, presence: &PresenceObject) {
+        let mut backoff = Backoff::new(self);
+        for look in 0.. {
+            sleep(LIST_AGAIN.mul_f64(rand::rng().random_range(0.7..1.3))).await;
+            let consistency = if look < STALE_LOOKS { Consistency::Stale } else { Consistency::Linearizable };
+            match self.store.presences(consistency).await {
+                Ok(it) => {
+                    backoff.answered();
+                    // A stale listing that holds it is newer than it.
+                    let is_listed = it.presences.contains(presence);
+                    self.take_list(it);
+                    if is_listed || consistency == Consistency::Linearizable {
+                        return;
+                    }
+                }
+                Err(error) => backoff.failed(&error).await,
+            }
+        }
+    }
+
+    fn presence(&self) -> PresenceObject {
+        let settings = self.settings.borrow();
+        PresenceObject {
+            name: self.name.clone(),
+            peers: settings.advertised,
+            data_centre: settings.data_centre.clone(),
+            service: settings.service.clone(),
+        }
+    }
+
+    fn take_list(&self, list: PresenceList) {
+        for it in &list.skipped {
+            self.tell_skipped("store", &it.name, &it.why);
+        }
+        // An empty one may be older than all the fleet.
+        self.joined.set(self.joined.get() || !list.presences.is_empty());
+        let listed = list.presences.into_iter().filter(|it| it.name != self.name).map(|it| Listed {
+            name: it.name,
+            peers: it.peers,
+            data_centre: it.data_centre,
+            service: it.service,
+        });
+        self.directory.borrow_mut().seed(listed, clock::now());
+        self.members_changed.notify_one();
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 //! Everything runs on one thread, since the VM has a fraction of a core. Decisions are in
 //! [`decide`](crate::decide); this module and its parts do input and output and call them.
 
+mod backoff;
 mod client;
 mod clock;
 mod control;
@@ -13,6 +14,7 @@
 mod head;
 mod headers;
 mod ingress;
+mod join;
 mod links;
 pub mod message;
 mod net;
