--- a/src/proxy/routes.rs
+++ b/src/proxy/routes.rs
@@ -97,7 +97,9 @@
     routes: Vec<Route>,
     /// What callers may send.
     pub limits: Limits,
-    /// Where endpoints of a service answer health questions, if not at the usual path; sorted by service.
+    /// Where endpoints of a service answer health questions, if not at the usual path; sorted by service. Proxies of
+    /// earlier releases don't send it.
+    #[serde(default)]
     health_paths: Vec<(ServiceName, HealthPath)>,
 }
 
