What the change had twice: counts of the directory, a listed proxy's type, a search of links, two merges, two confirmations

Found by reading the whole change again. The data centres were counted from all rows five times a second and before each watch, beside a kept count of the services, which itself was thrown away each second though nothing was forgotten: both are kept together until rows change, and forgetting says whether it did. Listed repeated PresenceObject field by field. Choosing links searched them beside Proxy::link. Rows were merged by a function and a method around it. A peer's confirmation was taken in at two places. Behaviour and tests' assertions are as they were. Left: the daemon's own rank of watchers beside decide::watchers::rank. One hash for both would choose other daemons, and while a fleet is upgraded each release could hold the other's to be the watchers, so that none is.

--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -23,7 +23,7 @@
 /// its work end well. A service of 137 guards that declines 55 in 100 for 8 s serves 56 in 100 of its urgent requests so in
 /// place of 48, and more in all (replayed).
 const KEPT_PART: f64 = 0.2;
-/// How long a wish for a repeat keeps that part from less urgent work: some times the pause between two such wishes at a
+/// How long a request for a repeat keeps that part from less urgent work: some times the pause between two of them at a
 /// guard whose service declines half.
 const WANTED_FOR: Duration = Duration::from_secs(1);
 /// The part of the bucket that a guard begins with: what its predecessor spent is not known, and guards
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -1,11 +1,12 @@
 //! What this proxy knows of all others: one row each, changed by its owner only.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{sync::Arc, time::Instant};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     decide::{life::EndpointId, suspicion::Standing},
+    platform::PresenceObject,
     proxy::routes::{ServiceName, Version},
     rows::{self, Compare, Compared, DaemonKey, Merge, OwnClaims, Stamp, Table},
 };
@@ -58,30 +59,24 @@
     pub current: Current,
 }
 
-/// Where a proxy is, from the store's listing.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Listed {
-    /// Its name.
-    pub name: ProxyName,
-    /// Where other proxies connect.
-    pub peers: SocketAddr,
-    /// Its data centre.
-    pub data_centre: Box<str>,
-    /// The service of its VM.
-    pub service: ServiceName,
-}
-
 /// The rows of all proxies, this one's included.
 pub struct Directory {
     table: Table<Served>,
-    /// Proxies by the service of their VM, sorted; `None` while it must be counted anew.
-    guards: Option<Vec<(ServiceName, usize)>>,
+    /// Of the live rows; `None` while they must be counted anew.
+    counts: Option<Counts>,
+}
+
+#[derive(Debug)]
+struct Counts {
+    /// Proxies by the service of their VM, sorted.
+    guards: Vec<(ServiceName, usize)>,
+    data_centres: usize,
 }
 
 impl Directory {
     /// A directory that holds the owner's row only.
     pub fn new(own: Row, now: Instant) -> Self {
-        Self { table: Table::new(own, OwnClaims::Outbid, now), guards: None }
+        Self { table: Table::new(own, OwnClaims::Outbid, now), counts: None }
     }
 
     /// The owner's row.
@@ -97,7 +92,7 @@
     /// Changes the owner's row.
     pub fn edit_own(&mut self, now: Instant, edit: impl FnOnce(&mut Row)) {
         self.table.edit_own(now, edit);
-        self.guards = None;
+        self.counts = None;
     }
 
     /// The row of `name`.
@@ -122,50 +117,50 @@
     }
 
     /// How many data centres the live proxies are in, this one included.
-    pub fn data_centres(&self) -> usize {
-        let mut names: Vec<&str> = vec![&self.own().data_centre];
-        for (_, row) in self.members() {
-            if let Err(at) = names.binary_search(&&*row.data_centre) {
-                names.insert(at, &row.data_centre);
-            }
-        }
-        names.len()
+    pub fn data_centres(&mut self) -> usize {
+        self.counts().data_centres
     }
 
     /// How many proxies guard endpoints of `service`, as far as this one knows.
     pub fn guards_of(&mut self, service: &str) -> usize {
-        let guards = self.guards();
+        let guards = &self.counts().guards;
         guards.binary_search_by(|it| (*it.0).cmp(service)).map_or(0, |at| guards[at].1)
     }
 
     /// How many services there are.
     pub fn services(&mut self) -> usize {
-        self.guards().len()
+        self.counts().guards.len()
     }
 
-    fn guards(&mut self) -> &[(ServiceName, usize)] {
-        let rows = self.table.entries().iter().map(|it| &it.row).filter(|it| is_live(it));
-        self.guards.get_or_insert_with(|| {
-            let mut services: Vec<&ServiceName> = rows.map(|it| &it.endpoints.service).collect();
+    fn counts(&mut self) -> &Counts {
+        let table = &self.table;
+        self.counts.get_or_insert_with(|| {
+            let live = || table.entries().iter().map(|it| &it.row).filter(|it| is_live(it));
+            let mut services: Vec<&ServiceName> = live().map(|it| &it.endpoints.service).collect();
             services.sort_unstable();
-            services.chunk_by(|a, b| a == b).map(|it| (it[0].clone(), it.len())).collect()
+            let guards = services.chunk_by(|a, b| a == b).map(|it| (it[0].clone(), it.len())).collect();
+            // This proxy's own counts even while it leaves.
+            let mut names: Vec<&str> = live().chain([table.own()]).map(|it| &*it.data_centre).collect();
+            names.sort_unstable();
+            names.dedup();
+            Counts { guards, data_centres: names.len() }
         })
     }
 
     /// Takes a row in if it is newer than what is known.
     pub fn merge(&mut self, row: Row, now: Instant) -> Merge {
-        self.guards = None;
+        self.counts = None;
         self.table.merge(row, now)
     }
 
     /// Takes rows in; returns those that were news, and the owner's if it had to be defended.
     pub fn merge_all(&mut self, rows: Vec<Row>, now: Instant) -> Vec<Row> {
-        self.guards = None;
+        self.counts = None;
         self.table.merge_all(rows, now)
     }
 
     /// Takes in where proxies are, as the store lists it; whatever they said themselves is newer.
-    pub fn seed(&mut self, listed: impl Iterator<Item = Listed>, now: Instant) {
+    pub fn seed(&mut self, listed: impl Iterator<Item = PresenceObject>, now: Instant) {
         let rows = listed.map(|it| Row {
             daemon: it.name,
             stamp: Stamp { incarnation: 0, sequence: 0, down: false },
@@ -179,14 +174,15 @@
 
     /// Holds a proxy to be down, as of the row that was known while it was tried.
     pub fn mark_down(&mut self, name: &str, tried: Stamp, now: Instant) -> bool {
-        self.guards = None;
+        self.counts = None;
         self.table.mark_down(name, tried, now)
     }
 
     /// Drops the rows of those that left or are down for long.
     pub fn forget(&mut self, now: Instant) {
-        self.table.forget(now);
-        self.guards = None;
+        if self.table.forget(now) {
+            self.counts = None;
+        }
     }
 
     /// One number that differs where any row differs.
@@ -211,7 +207,7 @@
 
     /// Ends an exchange that another opened.
     pub fn deliver(&mut self, deliver: rows::Deliver<Served>, now: Instant) -> (rows::Delivered<Served>, Vec<Row>) {
-        self.guards = None;
+        self.counts = None;
         deliver.answer(&mut self.table, now)
     }
 }
--- a/src/proxy/join.rs
+++ b/src/proxy/join.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     platform::{Consistency, PresenceList, PresenceObject},
-    proxy::{Proxy, backoff::Backoff, clock, directory::Listed},
+    proxy::{Proxy, backoff::Backoff, clock},
 };
 
 /// How long after its own object was written a proxy lists the others again; at that time a fleet that starts for the
@@ -77,12 +77,7 @@
         }
         // An empty one may be older than all the fleet.
         self.joined.set(self.joined.get() || !list.presences.is_empty());
-        let listed = list.presences.into_iter().filter(|it| it.name != self.name).map(|it| Listed {
-            name: it.name,
-            peers: it.peers,
-            data_centre: it.data_centre,
-            service: it.service,
-        });
+        let listed = list.presences.into_iter().filter(|it| it.name != self.name);
         self.directory.borrow_mut().seed(listed, clock::now());
         self.members_changed.notify_one();
     }
--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -134,18 +134,13 @@
         let needs = self.needs.borrow();
         let rows: Vec<_> = directory.members().filter(|it| all || needs.has(&it.1.endpoints.service)).collect();
         let own = directory.own();
-        let links = self.links.borrow();
-        let unreachable = |row: &Row| {
-            let at = links.binary_search_by(|it| it.0.cmp(&row.daemon)).ok();
-            at.is_some_and(|at| !links[at].1.is_reachable(now))
-        };
         let members: Vec<Member<'_>> = rows
             .iter()
             .map(|(key, row)| Member {
                 key: *key,
                 service: &row.endpoints.service,
                 near: row.data_centre == own.data_centre,
-                reachable: !unreachable(row),
+                reachable: self.link(&row.daemon).is_none_or(|it| it.is_reachable(now)),
             })
             .collect();
         let chosen = subset::choose(directory.own_key(), &members);
--- a/src/proxy/spread.rs
+++ b/src/proxy/spread.rs
@@ -243,20 +243,22 @@
     fn take_summary(self: &Rc<Self>, theirs: Summary, link: &Rc<Link>) {
         if theirs.version > self.version() {
             self.fetch_config(link);
-        } else if theirs.version == self.version()
-            && let Some(it) = theirs.confirmed_ago
-        {
-            self.confirm(it);
         }
+        self.take_confirmation(theirs);
     }
 
-    /// Answers the opening of an exchange.
-    pub(super) fn summarize(&self, theirs: Summary) -> Summary {
+    /// Takes in how long ago the store confirmed the version in force, if a peer speaks of that one.
+    fn take_confirmation(&self, theirs: Summary) {
         if theirs.version == self.version()
             && let Some(it) = theirs.confirmed_ago
         {
             self.confirm(it);
         }
+    }
+
+    /// Answers the opening of an exchange.
+    pub(super) fn summarize(&self, theirs: Summary) -> Summary {
+        self.take_confirmation(theirs);
         self.summary()
     }
 
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -55,11 +55,11 @@
 
     /// Whether it is this proxy's turn to watch the store.
     fn watches(&self, start: Instant) -> bool {
-        let directory = self.directory.borrow();
+        let mut directory = self.directory.borrow_mut();
+        let data_centres = directory.data_centres();
         let data_centre = &directory.own().data_centre;
         let near = directory.members().filter(|it| it.1.data_centre == *data_centre).map(|it| it.0);
         let rank = watchers::rank(directory.own_key(), near);
-        let data_centres = directory.data_centres();
         match self.confirmed_ago() {
             Some(it) => watchers::watches(rank, data_centres, it),
             None => watchers::watches_first(rank, data_centres, clock::now().saturating_duration_since(start)),
--- a/src/rows/exchange.rs
+++ b/src/rows/exchange.rs
@@ -116,27 +116,22 @@
     pub fn answer(self, table: &mut Table<E>, now: Instant) -> (Delivered<E>, Vec<Row<E>>) {
         let wanted = self.wanted.iter().filter_map(|it| table.by_key(*it));
         let rows = wanted.map(|it| Row::clone(it)).collect();
-        let news = merge_all(table, self.rows, now);
+        let news = table.merge_all(self.rows, now);
         (Delivered { rows }, news)
     }
 }
 
-/// Takes rows in; returns those that were news.
-pub(super) fn merge_all<E: Clone>(table: &mut Table<E>, rows: Vec<Row<E>>, now: Instant) -> Vec<Row<E>> {
-    let mut news = Vec::new();
-    for row in rows {
-        match table.merge(row.clone(), now) {
-            Merge::News => news.push(row),
-            Merge::Contradicts => news.push(Row::clone(table.own())),
-            Merge::Old => (),
-        }
-    }
-    news
-}
-
 impl<E: Clone> Table<E> {
     /// Takes rows in; returns those that were news, and the own row if it had to be defended.
     pub fn merge_all(&mut self, rows: Vec<Row<E>>, now: Instant) -> Vec<Row<E>> {
-        merge_all(self, rows, now)
+        let mut news = Vec::new();
+        for row in rows {
+            match self.merge(row.clone(), now) {
+                Merge::News => news.push(row),
+                Merge::Contradicts => news.push(Row::clone(self.own())),
+                Merge::Old => (),
+            }
+        }
+        news
     }
 }
--- a/src/rows/table.rs
+++ b/src/rows/table.rs
@@ -144,8 +144,8 @@
         true
     }
 
-    /// Drops rows of daemons that left or are down for long.
-    pub fn forget(&mut self, now: Instant) {
+    /// Drops rows of daemons that left or are down for long; whether there were any.
+    pub fn forget(&mut self, now: Instant) -> bool {
         let own = self.own;
         let kept = |it: &Entry<E>| {
             let limit = match (it.row.leaving, it.row.stamp.down) {
@@ -163,9 +163,10 @@
             }
             keep
         });
-        for (key, stamp) in dropped {
-            self.toggle(key, stamp, false);
+        for (key, stamp) in &dropped {
+            self.toggle(*key, *stamp, false);
         }
+        !dropped.is_empty()
     }
 
     /// One number that differs, but by rare chance, where any row differs.
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -7,7 +7,8 @@
 
 use jayreach::{
     decide::life::EndpointId,
-    proxy::directory::{Directory, EndpointRow, Listed, Row, Served},
+    platform::PresenceObject,
+    proxy::directory::{Directory, EndpointRow, Row, Served},
     rows::{Merge, Stamp},
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
@@ -94,7 +95,7 @@
     let mut told = row("b", 5, 1);
     told.endpoints.endpoint = endpoint("i-1");
     directory.merge(told.clone(), Instant::now());
-    let listed = ["b", "c"].map(|it| Listed {
+    let listed = ["b", "c"].map(|it| PresenceObject {
         name: it.into(),
         peers: address(),
         data_centre: "dc-2".into(),
