What an endpoint worked on when it ended, and which requests ask for the same

Callers saw 502; no line told whether the endpoints of the incident ended under one request or by themselves. Each failed attempt now has the fingerprint of what was asked (method, host, target, credentials, body), the same at every VM, and a guard whose endpoint ended writes an `ended-under` line for each piece of work that it had. A connection that broke off is told from an end by one look whether anybody listens. No decision is changed.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod standing;
 
 pub mod allowance;
+pub mod fingerprint;
 pub mod life;
 pub mod origin;
 pub mod pace;
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -8,7 +8,7 @@
 
 use std::time::Instant;
 
-use super::{allowance::Repeat, suspicion::Standing};
+use super::{allowance::Repeat, fingerprint::Fingerprint, suspicion::Standing};
 
 /// So many places go to the more urgent while others wait; then one goes to those. A ninth of the places costs
 /// the urgent class little, and lies above the quarter of the average share at which users call a class starved
@@ -43,6 +43,8 @@
     pub repeat_share: f64,
     /// Its class.
     pub route: Box<str>,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
 }
 
 impl Waiter {
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -12,12 +13,12 @@
     body::{Bytes, Incoming},
     header::{CONNECTION, CONTENT_ENCODING, HOST, HeaderName},
 };
-use tokio::time::timeout;
+use tokio::{sync::Mutex, time::timeout};
 
 use crate::{
     platform,
     proxy::{
-        client::{self, Connection},
+        client::{self, CallError, Connection},
         headers,
         message::{NotRun, RunEnd, Unknown, Whole},
     },
@@ -33,6 +34,11 @@
 /// How much later than the endpoint's own deadline its answer is waited for.
 const ANSWER_SLACK: Duration = Duration::from_millis(80);
 
+/// How long it may take to find out whether an endpoint is there: it is on this VM.
+const LOOK_LIMIT: Duration = Duration::from_millis(150);
+/// For how long what was found holds.
+const LOOK_HOLDS: Duration = Duration::from_millis(100);
+
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -43,6 +49,8 @@
 pub(super) struct EndpointPool {
     address: SocketAddr,
     idle: RefCell<Vec<Idle>>,
+    /// The last look whether the endpoint is there, and when; all work that broke off together needs but one.
+    looked: Mutex<Option<(Instant, bool)>>,
 }
 
 /// One request for the endpoint.
@@ -56,14 +64,39 @@
 
 impl EndpointPool {
     pub(super) fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default() }
+        Self { address, idle: RefCell::default(), looked: Mutex::default() }
     }
 
     /// Sends a request and judges the answer. Dropping the future cuts the connection, which tells
     /// the endpoint to stop.
     pub(super) async fn run(&self, req: EndpointRequest) -> RunEnd {
         let limit = req.left + ANSWER_SLACK;
-        timeout(limit, self.exchange(req)).await.unwrap_or(RunEnd::Unknown(Unknown::Silent))
+        match timeout(limit, self.exchange(req)).await {
+            Ok(RunEnd::Unknown(Unknown::Broken)) if self.has_ended().await => RunEnd::Unknown(Unknown::Ended),
+            Ok(it) => it,
+            Err(_) => RunEnd::Unknown(Unknown::Silent),
+        }
+    }
+
+    /// Whether nobody listens at the address, now that work there broke off: a connection that is reset, or cut, says
+    /// nothing of the endpoint's life.
+    async fn has_ended(&self) -> bool {
+        let mut looked = self.looked.lock().await;
+        if let Some((at, ended)) = *looked
+            && at.elapsed() < LOOK_HOLDS
+        {
+            return ended;
+        }
+        let ended = match timeout(LOOK_LIMIT, Connection::open(self.address)).await {
+            Ok(Err(CallError::NotConnected(error))) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(connection)) => {
+                self.idle.borrow_mut().push(Idle { connection, since: Instant::now(), limit: IDLE_LIMIT });
+                false
+            }
+            Ok(Err(_)) | Err(_) => false,
+        };
+        *looked = Some((Instant::now(), ended));
+        ended
     }
 
     async fn exchange(&self, req: EndpointRequest) -> RunEnd {
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -15,7 +15,7 @@
 use serde::Serialize;
 
 use crate::{
-    decide::{life::UnixMillis, suspicion::Standing},
+    decide::{fingerprint::Fingerprint, life::UnixMillis, suspicion::Standing},
     proxy::{
         directory::ProxyName,
         message::{NotRun, Refusal, Unknown},
@@ -78,7 +78,9 @@
         told_ms_ago: u128,
     },
     /// An attempt at an endpoint ended otherwise than well.
-    Failed { request: &'a str, guard: &'a str, attempt: u32, why: Failure, took_ms: u128 },
+    Failed { request: &'a str, fingerprint: Fingerprint, guard: &'a str, attempt: u32, why: Failure, took_ms: u128 },
+    /// The endpoint ended while it had this work, and `running` pieces of work in all.
+    EndedUnder { endpoint: &'a str, request: &'a str, fingerprint: Fingerprint, ran_ms: u128, running: usize },
     /// An attempt's guard fell silent; it, or another in its place, was asked what became of it.
     Asked { request: &'a str, guard: &'a str, through: &'a str, found: &'a str },
     /// The caller left before its answer.
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    decide::life::EndpointId,
+    decide::{fingerprint::Fingerprint, life::EndpointId},
     proxy::{
         directory::Incarnation,
         message::{Grant, GrantId, NotRun, RunEnd},
@@ -26,6 +26,8 @@
 pub struct Purpose {
     /// The work's class.
     pub route: RouteName,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// Whether the work may run again.
     pub idempotent: bool,
     /// How much of it counts as a repeat, 0 to 1.
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -107,6 +107,7 @@
             needs_allowance: req.arrival == Arrival::Repeat,
             repeat_share: req.arrival.repeat_share(),
             route: req.route.clone(),
+            fingerprint: req.fingerprint,
         });
         self.senders.push((id, tx));
         Ok(id)
@@ -129,6 +130,7 @@
             let (_, tx) = senders.swap_remove(at);
             let purpose = Purpose {
                 route: waiter.route,
+                fingerprint: waiter.fingerprint,
                 idempotent: waiter.idempotent,
                 repeat_share: waiter.repeat_share,
                 trial: endpoint.record.standing() != Standing::Clean,
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -122,11 +122,28 @@
             }
             work.await
         };
+        if end == RunEnd::Unknown(Unknown::Ended) {
+            self.tell_ended(&grant, &request, start);
+        }
         self.learn(&grant, &end, &request, start, left);
         self.end(grant.id, end.clone());
         end
     }
 
+    /// Says that the endpoint ended while it had this work.
+    fn tell_ended(&self, grant: &Grant, request: &str, begun: Instant) {
+        let state = self.state.borrow();
+        let Some(given) = state.ledger.given(grant.id) else { return };
+        self.events.emit(&Event::EndedUnder {
+            endpoint: &grant.endpoint.name,
+            request,
+            fingerprint: given.purpose.fingerprint,
+            ran_ms: clock::now().saturating_duration_since(begun).as_millis(),
+            running: state.ledger.running().count(),
+        });
+        metrics::counter!("jayreach_endpoint_ended_under_work_total").increment(1);
+    }
+
     /// Takes in what the end of a run says of the endpoint.
     fn learn(self: &Rc<Self>, grant: &Grant, end: &RunEnd, request: &str, begun: Instant, left: Duration) {
         /// An endpoint that ends this close to its deadline ran out of time.
@@ -146,7 +163,7 @@
             RunEnd::Answered { .. } if self.state.borrow_mut().ledger.explain_failure(grant.id) => return,
             RunEnd::Answered { .. } => (failure, "failed"),
             RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) | RunEnd::NotRun(NotRun::NoGrant) => return,
-            RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => (failure, "broken"),
+            RunEnd::Unknown(Unknown::Broken | Unknown::Ended | Unknown::Garbled) => (failure, "broken"),
             RunEnd::NotRun(NotRun::Declined) => (Sample::Declined, "declined"),
             RunEnd::NotRun(NotRun::NoConnection) => {
                 self.forget_if_silent(&grant.endpoint);
@@ -228,7 +245,7 @@
 fn use_of(end: &RunEnd) -> Use {
     match end {
         RunEnd::Answered { status, .. } if *status < 500 => Use::Answered,
-        RunEnd::Answered { .. } | RunEnd::Unknown(Unknown::Broken | Unknown::Garbled) => Use::Failed,
+        RunEnd::Answered { .. } | RunEnd::Unknown(Unknown::Broken | Unknown::Ended | Unknown::Garbled) => Use::Failed,
         RunEnd::NotRun(_) => Use::Declined,
         RunEnd::Unknown(Unknown::Silent | Unknown::GuardGone) => Use::Abandoned,
     }
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -85,7 +85,14 @@
     fn failed(&self, job: &Job, placed: &Placed, why: Failure, took: Duration) {
         let guard = placed.guard.name(self);
         let attempt = job.attempts.get();
-        self.events.emit(&Event::Failed { request: &job.request, guard, attempt, why, took_ms: took.as_millis() });
+        self.events.emit(&Event::Failed {
+            request: &job.request,
+            fingerprint: job.fingerprint,
+            guard,
+            attempt,
+            why,
+            took_ms: took.as_millis(),
+        });
         metrics::counter!("jayreach_attempts_failed_total", "service" => job.service.to_string()).increment(1);
     }
 
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -13,13 +13,13 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
-    header::{CONNECTION, HOST, HeaderValue},
+    header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue},
 };
 use rand::RngExt as _;
 use tokio::time::timeout;
 
 use crate::{
-    decide::{origin::Origin, pace::Pace, shares::Shares},
+    decide::{fingerprint::Fingerprint, origin::Origin, pace::Pace, shares::Shares},
     platform,
     proxy::{
         Proxy, client, clock,
@@ -66,6 +66,7 @@
 /// A request that is being served.
 struct Job {
     request: Box<str>,
+    fingerprint: Fingerprint,
     config: Rc<Config>,
     /// Place in the configuration's routes.
     route: usize,
@@ -185,14 +186,17 @@
     let mut passed_on = headers::end_to_end(&head.headers);
     platform::set_caller_service(&mut passed_on, &proxy.settings.borrow().service);
     let service = proxy.deal(route);
+    let credentials = head.headers.get(AUTHORIZATION).map_or(&[][..], HeaderValue::as_bytes);
+    let target = head.uri.path_and_query().map_or("/", |it| it.as_str());
     let origin = proxy.guard.origin(&route.name, &service, caller_deadline);
     let job = Job {
         rank: proxy.rank(&config, route, &origin),
         origin,
         service,
         request: id.clone(),
+        fingerprint: Fingerprint::of(head.method.as_str(), host, target, credentials, &body),
         method: head.method.as_str().into(),
-        target: head.uri.path_and_query().map_or("/", |it| it.as_str()).into(),
+        target: target.into(),
         content: Whole::new(&passed_on, &body),
         arrived,
         work_until: caller_deadline.min(arrived + route.timeout),
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -249,6 +249,7 @@
             version: self.version(),
             service: job.service.clone(),
             route: job.route().name.clone(),
+            fingerprint: job.fingerprint,
             idempotent: job.idempotent(),
             trial: Self::may_be_trial(job),
             arrival: job.next_arrival(),
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -10,7 +10,7 @@
 use serde_bytes::ByteBuf;
 
 use crate::{
-    decide::{life::EndpointId, suspicion::Standing},
+    decide::{fingerprint::Fingerprint, life::EndpointId, suspicion::Standing},
     proxy::{
         directory::{Brief, Current, Incarnation, ProxyName, Row, Served},
         routes::{RouteName, ServiceName, Version},
@@ -68,6 +68,8 @@
     pub service: ServiceName,
     /// The work's class.
     pub route: RouteName,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// Whether the work may run again.
     pub idempotent: bool,
     /// Whether a suspect endpoint may be tried with it.
@@ -219,6 +221,8 @@
 pub enum Unknown {
     /// The connection to the endpoint broke.
     Broken,
+    /// The endpoint ended while it had the work.
+    Ended,
     /// What came is not the endpoint's whole answer to this request.
     Garbled,
     /// No answer within the time that was left.
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -10,6 +10,7 @@
 };
 
 use jayreach::{
+    decide::fingerprint::Fingerprint,
     explain::{Line, Subject, explain},
     proxy::events::{Answered, Event, Events, Failure},
 };
@@ -131,7 +132,14 @@
 
 #[test]
 fn a_call_that_failed_is_named_as_its_parent_s_cause() {
-    let failed = Event::Failed { request: "r", guard: "vm-2", attempt: 1, why: Failure::Status(500), took_ms: 40 };
+    let failed = Event::Failed {
+        request: "r",
+        fingerprint: Fingerprint::default(),
+        guard: "vm-2",
+        attempt: 1,
+        why: Failure::Status(500),
+        took_ms: 40,
+    };
     let all = written(&[answered("r.c1", 503), failed, answered("r", 500)]);
 
     let history = explain(&all, &Subject::Request("r".into()));
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use jayreach::{
-    decide::life::EndpointId,
+    decide::{fingerprint::Fingerprint, life::EndpointId},
     proxy::{
         guard::ledger::{Known, Ledger, Purpose, Running},
         message::{Grant, NotRun, RunEnd, Unknown},
@@ -36,6 +36,16 @@
     EndpointId { name: "i".into(), born: Some(1) }
 }
 
+fn purpose() -> Purpose {
+    Purpose {
+        route: "r".into(),
+        fingerprint: Fingerprint::default(),
+        idempotent: false,
+        repeat_share: 0.0,
+        trial: false,
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Message {
     Run(usize, Grant),
@@ -76,7 +86,7 @@
     }
 
     fn offer(&mut self, guard: usize) -> Grant {
-        let purpose = Purpose { route: "r".into(), idempotent: false, repeat_share: 0.0, trial: false };
+        let purpose = purpose();
         self.guards[guard].offer(endpoint(), purpose)
     }
 
@@ -216,7 +226,7 @@
 #[test]
 fn an_end_is_remembered_for_a_while_and_then_unknown() {
     let (now, mut ledger) = (Instant::now(), Ledger::new(1));
-    let purpose = Purpose { route: "r".into(), idempotent: false, repeat_share: 0.0, trial: false };
+    let purpose = purpose();
     let grant = ledger.offer(endpoint(), purpose.clone());
     let other = ledger.offer(endpoint(), purpose);
 
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use jayreach::decide::{
+    fingerprint::Fingerprint,
     suspicion::Standing,
     wait_queue::{WaitQueue, Waiter},
 };
@@ -25,6 +26,7 @@
         useful_until: arrived + useful,
         needs_allowance: false,
         repeat_share: 0.0,
+        fingerprint: Fingerprint::default(),
         route: "r".into(),
     }
 }
