--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -1,10 +1,10 @@
 //! A stand-in for an endpoint of the users' platform, healthy or not.
 
 use std::{
-    io::{BufReader, Read as _, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    io::{self, BufReader, Read as _, Write as _},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -67,8 +67,27 @@
     pub at: Instant,
 }
 
+/// A request that ends every endpoint which begins to work on it.
+#[derive(Debug, Clone)]
+struct Crash {
+    target: String,
+    /// How long it works before.
+    after: Duration,
+    /// How long until it is back, in a new life.
+    down_for: Duration,
+}
+
 struct State {
     mode: EndpointMode,
+    crash: Option<Crash>,
+    /// It has crashed and is not back.
+    down: bool,
+    /// Its lives so far.
+    lives: u32,
+    /// `None` while it is down.
+    listener: Option<TcpListener>,
+    /// Connections that are served.
+    open: Vec<Weak<TcpStream>>,
     health_path: String,
     work: Duration,
     instance: String,
@@ -93,10 +112,15 @@
 
 impl Endpoint {
     /// Starts one on a free port; it announces nothing yet.
-    pub fn start(service: &str, instance: &str, slots: u32, work: Duration) -> std::io::Result<Self> {
+    pub fn start(service: &str, instance: &str, slots: u32, work: Duration) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let state = State {
             mode: EndpointMode::Good,
+            crash: None,
+            down: false,
+            lives: 1,
+            listener: None,
+            open: Vec::new(),
             health_path: "/health".into(),
             work,
             instance: instance.into(),
@@ -114,13 +138,58 @@
             sequence: Arc::new(AtomicU64::new(1)),
         };
         let serving = endpoint.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let endpoint = serving.clone();
+        thread::spawn(move || serving.live(listener));
+        Ok(endpoint)
+    }
+
+    /// Serves, and comes back after each crash.
+    fn live(&self, mut listener: TcpListener) {
+        loop {
+            self.lock().listener = listener.try_clone().ok();
+            while let Ok((stream, _)) = listener.accept() {
+                let endpoint = self.clone();
                 thread::spawn(move || endpoint.serve(stream));
             }
-        });
-        Ok(endpoint)
+            drop(listener);
+            let down_for = self.lock().crash.as_ref().map_or(Duration::ZERO, |it| it.down_for);
+            thread::sleep(down_for);
+            listener = match TcpListener::bind(self.address) {
+                Ok(it) => it,
+                Err(error) => {
+                    eprintln!("{} stays down: {error}", self.address);
+                    return;
+                }
+            };
+            let mut state = self.lock();
+            state.lives += 1;
+            let instance = format!("{}-life-{}", state.instance, state.lives);
+            drop(state);
+            self.replace(&instance);
+            self.lock().down = false;
+        }
+    }
+
+    /// From now on a request for this target ends it: it works for a moment, and is back after `down_for` in a new life.
+    pub fn crash_on(&self, target: &str, after: Duration, down_for: Duration) {
+        self.lock().crash = Some(Crash { target: target.into(), after, down_for });
+    }
+
+    /// Ends: nobody listens any more, and all connections break off.
+    fn crash(&self) {
+        let mut state = self.lock();
+        state.down = true;
+        // A listener that is shut down refuses connections from that moment on.
+        if let Some(it) = state.listener.take() {
+            _ = SockRef::from(&it).shutdown(Shutdown::Both);
+        }
+        for it in state.open.drain(..).filter_map(|it| it.upgrade()) {
+            _ = it.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Whether it has crashed and is not back.
+    pub fn is_down(&self) -> bool {
+        self.lock().down
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -170,7 +239,10 @@
     }
 
     /// Sends one announcement to the proxy beside it; returns the status.
-    pub fn announce(&self, proxy: SocketAddr, draining: bool) -> std::io::Result<u16> {
+    pub fn announce(&self, proxy: SocketAddr, draining: bool) -> io::Result<u16> {
+        if self.is_down() {
+            return Err(io::ErrorKind::NotConnected.into());
+        }
         self.lock().draining |= draining;
         let state = if self.lock().draining { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
@@ -184,7 +256,7 @@
         (instance, born): &(String, u64),
         state: &str,
         sequence: u64,
-    ) -> std::io::Result<u16> {
+    ) -> io::Result<u16> {
         let body = serde_json::json!({
             "service": &*self.service, "address": self.address, "zone": "dc-1", "version": "v1", "slots": self.slots,
             "state": state, "warmup_left_s": 0, "sequence": sequence, "born": born,
@@ -193,7 +265,7 @@
     }
 
     /// Sends a heartbeat with this body, whatever it is; returns the status.
-    pub fn send_heartbeat(proxy: SocketAddr, instance: &str, body: &[u8]) -> std::io::Result<u16> {
+    pub fn send_heartbeat(proxy: SocketAddr, instance: &str, body: &[u8]) -> io::Result<u16> {
         let mut stream = TcpStream::connect(proxy)?;
         stream.set_read_timeout(Some(ACKNOWLEDGED_WITHIN))?;
         let start = format!("POST /instances/{instance}/heartbeat HTTP/1.1");
@@ -208,7 +280,12 @@
     }
 
     fn serve(&self, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let (Ok(mut writer), Ok(open)) = (stream.try_clone(), stream.try_clone().map(Arc::new)) else { return };
+        {
+            let mut state = self.lock();
+            state.open.retain(|it| it.strong_count() > 0);
+            state.open.push(Arc::downgrade(&open));
+        }
         let mut reader = BufReader::new(stream);
         while let Ok(Some(req)) = http::read(&mut reader) {
             if req.second() == self.lock().health_path {
@@ -237,6 +314,12 @@
         let wrong = req.header("x-expect-instance").is_some_and(|it| it != instance);
         let sheds = mode == EndpointMode::Sheds;
         let at = self.note(req, !wrong && !sheds);
+        let crash = self.lock().crash.clone().filter(|it| it.target == req.second() && !wrong && !sheds);
+        if let Some(it) = crash {
+            self.work(at, it.after, writer);
+            self.crash();
+            return false;
+        }
         if wrong {
             return writer.write_all(&http::text("HTTP/1.1 421 x", &[("X-Instance-Id", &instance)], b"")).is_ok();
         }
