What is held back is in the store, and has a way out

Cause: what is known of requests lived in the proxies only.

What a guard finds it writes to the store, an object a request; each proxy reads them at its start (stale, a tenth of a call), and those that watch read them anew when they begin to. A request that is held back can get no good answer, so it has trials after 30 s, 5 min and an hour, and no more. The store decides whose a trial is, by the revision of its object; without the store there is none. The objects of proxies and these are read and written by one piece of code, in a file of its own (platform/objects.rs).

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -8,7 +8,8 @@
 //! endpoint: the next end tells them apart. A request under which an endpoint ended, though the request was suspect already
 //! when it began there, is held back everywhere. Ends at the same time count once, since nothing was known of the one when
 //! the other's work began: where many endpoints are lost together, what they all worked on is not held back for it. Any
-//! good answer clears a request.
+//! good answer clears a request. What is held back could never get one, so it has a few trials, further and further apart:
+//! one that ends its endpoints costs a few of them in all, and one that was there by bad luck is free after the first.
 
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,9 @@
 const ONE_OF_SEVERAL: u32 = 1;
 /// Evidence by the end of an endpoint at which nothing else was suspect.
 const ONLY_SUSPECT: u32 = 2;
+/// The pauses before the trials of a request that is held back. It gets no more of them than these: each may cost an endpoint
+/// and all that works there.
+const TRIALS_AFTER: [Duration; 3] = [Duration::from_secs(30), Duration::from_secs(300), Duration::from_secs(3_600)];
 /// For how long a request that is not held back is remembered: longer than callers go on asking.
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// For how long one that is held back is remembered after it came last.
@@ -37,6 +41,8 @@
     cleared: u32,
     /// The evidence by endpoints that ended under it; `HELD_AT` and more hold it back.
     evidence: u32,
+    /// Trials that began.
+    trials: u32,
 }
 
 impl Case {
@@ -50,16 +56,33 @@
         self.evidence >= HELD_AT
     }
 
+    /// Whether it was cleared, and nothing speaks against it since.
+    pub fn is_cleared(self) -> bool {
+        self.cleared > 0 && self.evidence == 0
+    }
+
     /// Whether an endpoint ended under it, and nothing cleared it since.
     pub fn is_suspect(self) -> bool {
         self.evidence > 0
     }
 
+    /// How many trials began.
+    pub fn trials(self) -> u32 {
+        self.trials
+    }
+
+    /// With one more trial.
+    pub fn with_trial(self) -> Self {
+        Self { trials: self.trials.saturating_add(1), ..self }
+    }
+
     fn merge(self, other: Self) -> Self {
         match self.cleared.cmp(&other.cleared) {
             std::cmp::Ordering::Less => other,
             std::cmp::Ordering::Greater => self,
-            std::cmp::Ordering::Equal => Self { evidence: self.evidence.max(other.evidence), ..self },
+            std::cmp::Ordering::Equal => {
+                Self { evidence: self.evidence.max(other.evidence), trials: self.trials.max(other.trials), ..self }
+            }
         }
     }
 
@@ -70,7 +93,7 @@
     }
 
     fn after_good_answer(self) -> Self {
-        Self { cleared: self.cleared.saturating_add(1), evidence: 0 }
+        Self { cleared: self.cleared.saturating_add(1), ..Self::default() }
     }
 }
 
@@ -91,6 +114,8 @@
     case: Case,
     /// When the case changed, or the request came last, anywhere.
     touched: Instant,
+    /// When this proxy heard of the last change, or put a trial off.
+    since: Instant,
 }
 
 impl Entry {
@@ -149,7 +174,7 @@
     /// Takes in what another proxy tells. Returns whether that is news.
     pub fn merge_told(&mut self, told: &ToldCase, now: Instant) -> bool {
         let touched = now.checked_sub(told.age).unwrap_or(now);
-        let new = Entry { fingerprint: told.fingerprint, case: told.case, touched };
+        let new = Entry { fingerprint: told.fingerprint, case: told.case, touched, since: now };
         if told.case == Case::default() || new.is_over(now) {
             return false;
         }
@@ -159,7 +184,11 @@
                 let before = known.case;
                 known.case = before.merge(told.case);
                 known.touched = known.touched.max(touched);
-                known.case != before
+                let is_news = known.case != before;
+                if is_news {
+                    known.since = now;
+                }
+                is_news
             }
             Err(at) => {
                 self.entries.insert(at, new);
@@ -169,6 +198,20 @@
         }
     }
 
+    /// How long until a request that is held back may have its next trial; `None` if it has had all.
+    pub fn trial_in(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
+        let it = &self.entries[self.find(fingerprint).ok()?];
+        let pause = TRIALS_AFTER.get(it.case.trials as usize)?;
+        Some(pause.saturating_sub(now.saturating_duration_since(it.since)))
+    }
+
+    /// The next trial is due after its whole pause from now: it could not begin, or another proxy has begun it.
+    pub fn put_off_trial(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if let Ok(at) = self.find(fingerprint) {
+            self.entries[at].since = now;
+        }
+    }
+
     /// All cases, to be told to another proxy.
     pub fn tell(&self, now: Instant) -> Vec<ToldCase> {
         let tell = |it: &Entry| ToldCase {
@@ -188,8 +231,8 @@
     /// One number that differs where any case differs.
     pub fn digest(&self) -> u64 {
         let hash = |it: &Entry| {
-            let counts = u64::from(it.case.cleared) << 32 | u64::from(it.case.evidence);
-            mix(&[it.fingerprint.number(), counts])
+            let Case { cleared, evidence, trials } = it.case;
+            mix(&[it.fingerprint.number(), cleared.into(), evidence.into(), trials.into()])
         };
         self.entries.iter().map(hash).fold(0, u64::wrapping_add)
     }
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -45,6 +45,8 @@
     pub route: Box<str>,
     /// What the request asks for.
     pub fingerprint: Fingerprint,
+    /// It is the trial of a request that is held back.
+    pub released: bool,
 }
 
 impl Waiter {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod entries;
 mod headers;
 mod health;
+mod objects;
 mod store;
 
 pub use announce::{AnnounceCall, announce_call, announced, deregistered};
@@ -16,9 +17,8 @@
     retry_after, set_caller_service, set_deadline, set_instance,
 };
 pub use health::health;
-pub use store::{
-    ConfigObject, Consistency, PresenceList, PresenceObject, SkippedObject, Store, StoreFailure, WatchEnd,
-};
+pub use objects::{Listing, PresenceObject, QuarantineObject, SkippedObject, Trial};
+pub use store::{ConfigObject, Consistency, Store, StoreFailure, WatchEnd};
 
 /// The path of the platform's readiness question.
 pub const READINESS_PATH: &str = "/readiness";
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -70,6 +70,7 @@
     pub(super) fn start_tasks(self: &Rc<Self>) {
         spawn_local(Rc::clone(self).read_first_config());
         spawn_local(Rc::clone(self).follow_config());
+        spawn_local(Rc::clone(self).read_first_quarantine());
         spawn_local(Rc::clone(self).join());
         spawn_local(Rc::clone(self).tell_changes());
         spawn_local(Rc::clone(self).keep_links());
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -28,6 +28,8 @@
     pub route: RouteName,
     /// What the request asks for.
     pub fingerprint: Fingerprint,
+    /// Whether it is the trial of a request that is held back.
+    pub released: bool,
     /// Whether the work may run again.
     pub idempotent: bool,
     /// How much of it counts as a repeat, 0 to 1.
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -4,7 +4,7 @@
 mod calls;
 pub mod ledger;
 mod places;
-mod quarantined;
+pub(super) mod quarantined;
 mod runs;
 
 use std::{
@@ -144,6 +144,8 @@
     quarantine: Quarantine,
     /// Of which of them there is something to tell.
     quarantine_news: Vec<Fingerprint>,
+    /// Of which of them the endpoint here showed something that is to be written down.
+    quarantine_found: Vec<Fingerprint>,
     /// Work that ended without the endpoint's answer: it may go on, and call, until its time is over. At most
     /// `calls::LINGERING_KEPT`.
     lingering: Vec<Given>,
@@ -213,6 +215,7 @@
                 allowance: Allowance::new(terms),
                 quarantine: Quarantine::default(),
                 quarantine_news: Vec::new(),
+                quarantine_found: Vec::new(),
                 lingering: Vec::new(),
                 origins: Origins::default(),
                 last_failed_call: 0,
--- a/src/proxy/guard/places.rs
+++ b/src/proxy/guard/places.rs
@@ -80,7 +80,7 @@
         if endpoint.announced.service != req.service || leaves || !fits(self.ends, &self.pace, &req.route, now) {
             return Err(Refusal::Elsewhere);
         }
-        if self.quarantine.case(req.fingerprint).is_held() {
+        if self.quarantine.case(req.fingerprint).is_held() && !req.released {
             return Err(Refusal::Quarantined);
         }
         self.origins.count(&req.route, req.certain_caller);
@@ -112,6 +112,7 @@
             repeat_share: req.arrival.repeat_share(),
             route: req.route.clone(),
             fingerprint: req.fingerprint,
+            released: req.released,
         });
         self.senders.push((id, tx));
         Ok(id)
@@ -128,7 +129,8 @@
             let admits = |it: &Waiter| {
                 let case = quarantine.case(it.fingerprint);
                 endpoint.record.admits(it.accepts, it.trial, trials, now)
-                    && !(case.is_held() || case.is_suspect() && suspect_here)
+                    && (it.released || !case.is_held())
+                    && !(case.is_suspect() && suspect_here)
                     && (!it.needs_allowance || allowance.allows(it.repeat(), now))
                     && fits(*ends, pace, &it.route, now)
             };
@@ -138,6 +140,7 @@
             let purpose = Purpose {
                 route: waiter.route,
                 fingerprint: waiter.fingerprint,
+                released: waiter.released,
                 idempotent: waiter.idempotent,
                 repeat_share: waiter.repeat_share,
                 trial: endpoint.record.standing() != Standing::Clean,
@@ -160,7 +163,7 @@
         let Self { endpoint, queue, senders, allowance, quarantine, pace, ends, .. } = self;
         let serving = endpoint.as_ref().filter(|it| it.announced.phase == EndpointPhase::Serving);
         let refusal = |it: &Waiter| match serving {
-            _ if quarantine.case(it.fingerprint).is_held() => Some(Refusal::Quarantined),
+            _ if quarantine.case(it.fingerprint).is_held() && !it.released => Some(Refusal::Quarantined),
             None => Some(Refusal::Elsewhere),
             Some(_) if !fits(*ends, pace, &it.route, now) => Some(Refusal::Elsewhere),
             Some(endpoint) if !endpoint.record.admits(it.accepts, it.trial, 0, now) => Some(Refusal::Suspect),
--- a/src/proxy/guard/quarantined.rs
+++ b/src/proxy/guard/quarantined.rs
@@ -12,6 +12,34 @@
     proxy::{clock, events::Event, message::Grant},
 };
 
+/// Who says something of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::proxy) enum Source {
+    /// This VM's endpoint ended under it.
+    Ended,
+    /// This VM's endpoint answered it well.
+    Answered,
+    /// Another proxy.
+    Peer,
+    /// The store, from an earlier time perhaps.
+    Store,
+    /// Its trial begins here.
+    Trial,
+}
+
+impl Source {
+    /// As written in events.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Answered => "answered",
+            Self::Peer => "peer",
+            Self::Store => "store",
+            Self::Trial => "trial",
+        }
+    }
+}
+
 impl Guard {
     /// What is known against a request.
     pub fn case(&self, fingerprint: Fingerprint) -> Case {
@@ -26,11 +54,11 @@
     /// Takes in what a guard said of a request.
     pub(in crate::proxy) fn take_case(self: &Rc<Self>, fingerprint: Fingerprint, case: Case) {
         let told = ToldCase { fingerprint, case, age: Duration::ZERO };
-        self.take_cases(&[told], "peer");
+        self.take_cases(&[told], Source::Peer);
     }
 
     /// Takes in what others know against requests.
-    pub(in crate::proxy) fn take_cases(self: &Rc<Self>, cases: &[ToldCase], source: &str) {
+    pub(in crate::proxy) fn take_cases(self: &Rc<Self>, cases: &[ToldCase], source: Source) {
         let now = clock::now();
         for it in cases {
             let mut state = self.state.borrow_mut();
@@ -53,7 +81,7 @@
         let news = quarantine.end_under(&work, clock::now());
         drop(state);
         for (fingerprint, held) in before.into_iter().filter(|it| news.contains(&it.0)) {
-            self.note_news(fingerprint, held, "ended");
+            self.note_news(fingerprint, held, Source::Ended);
         }
     }
 
@@ -80,7 +108,7 @@
         let is_news = state.quarantine.answered_well(fingerprint, clock::now());
         drop(state);
         if is_news {
-            self.note_news(fingerprint, before, "answered");
+            self.note_news(fingerprint, before, Source::Answered);
         }
     }
 
@@ -109,10 +137,28 @@
         self.state.borrow_mut().quarantine.forget(clock::now());
     }
 
+    /// How long until a request that is held back may have its next trial; `None` if it has had all.
+    pub(in crate::proxy) fn trial_in(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        self.state.borrow().quarantine.trial_in(fingerprint, clock::now())
+    }
+
+    /// The next trial of a request is due after its whole pause from now.
+    pub(in crate::proxy) fn put_off_trial(&self, fingerprint: Fingerprint) {
+        self.state.borrow_mut().quarantine.put_off_trial(fingerprint, clock::now());
+    }
+
+    /// The requests of which this VM's endpoint showed that they are to be held back, or no longer, once.
+    pub(in crate::proxy) fn take_found(&self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.state.borrow_mut().quarantine_found)
+    }
+
     /// Has a changed case told to others, and lets work begin, or not, as it now should.
-    fn note_news(self: &Rc<Self>, fingerprint: Fingerprint, was_held: bool, source: &str) {
+    fn note_news(self: &Rc<Self>, fingerprint: Fingerprint, was_held: bool, source: Source) {
         let mut state = self.state.borrow_mut();
         state.quarantine_news.push(fingerprint);
+        if matches!(source, Source::Ended | Source::Answered) {
+            state.quarantine_found.push(fingerprint);
+        }
         let case = state.quarantine.case(fingerprint);
         let (suspects, quarantined) = state.quarantine.counts();
         drop(state);
@@ -120,7 +166,8 @@
         metrics::gauge!("jayreach_quarantined_requests").set(quarantined as f64);
         let held = case.is_held();
         if held != was_held {
-            self.events.emit(&Event::Quarantine { fingerprint, held, evidence: case.evidence(), source });
+            let (evidence, source) = (case.evidence(), source.name());
+            self.events.emit(&Event::Quarantine { fingerprint, held, evidence, source });
         }
         self.cases_changed.notify_one();
         self.pump();
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -74,8 +74,9 @@
         let mut state = self.state.borrow_mut();
         let State { endpoint, ledger, quarantine, pace, .. } = &mut *state;
         let endpoint = endpoint.as_ref().filter(|it| it.announced.id == run.grant.endpoint)?;
-        let known = quarantine.case(ledger.given(run.grant.id)?.purpose.fingerprint);
-        if known.is_held() {
+        let purpose = &ledger.given(run.grant.id)?.purpose;
+        let known = quarantine.case(purpose.fingerprint);
+        if known.is_held() && !purpose.released {
             return None;
         }
         let now = clock::now();
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -33,9 +33,11 @@
         let mut tried: Vec<EndpointId> = Vec::new();
         let mut last: Option<Verdict> = None;
         let mut moves = 0;
-        self.guard.came(job.fingerprint);
+        if self.guard.came(job.fingerprint).is_held() {
+            job.released.set(self.begin_trial(job.fingerprint).await);
+        }
         loop {
-            if self.guard.case(job.fingerprint).is_held() {
+            if self.is_held(job) {
                 return last.unwrap_or(job.without_place(NoPlace::Quarantined));
             }
             let placed = match self.place(job, &tried).await {
@@ -83,9 +85,15 @@
                     tried.push(placed.grant.endpoint);
                 }
             }
+            job.released.set(false);
         }
     }
 
+    /// Whether the request is held back, and this isn't its trial.
+    pub(super) fn is_held(&self, job: &Job) -> bool {
+        self.guard.case(job.fingerprint).is_held() && !job.released.get()
+    }
+
     fn failed(&self, job: &Job, placed: &Placed, why: Failure, took: Duration) {
         let guard = placed.guard.name(self);
         let attempt = job.attempts.get();
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -40,6 +40,8 @@
 const TIMEOUT_SLACK: Duration = Duration::from_millis(120);
 /// The pause a refused caller is told: the time in which queues move on, more for lower ranks.
 const COME_BACK: Duration = Duration::from_millis(600);
+/// What a caller is told whose request has had all its trials: an operator must look at it.
+const NO_TRIAL: Duration = Duration::from_secs(3_600);
 /// Retries that are known to be near must not come together.
 const COME_BACK_SPREAD: f64 = 0.5;
 
@@ -67,6 +69,8 @@
 struct Job {
     request: Box<str>,
     fingerprint: Fingerprint,
+    /// It is the trial of a request that is held back.
+    released: Cell<bool>,
     config: Rc<Config>,
     /// Place in the configuration's routes.
     route: usize,
@@ -197,6 +201,7 @@
         service,
         request: id.clone(),
         fingerprint: Fingerprint::of(head.method.as_str(), host, target, credentials, &body),
+        released: Cell::new(false),
         method: head.method.as_str().into(),
         target: target.into(),
         content: Whole::new(&passed_on, &body),
@@ -306,7 +311,7 @@
             Verdict::Answer { status, content } => (endpoint_answer(status, content), "answered"),
             Verdict::NotRun(NoPlace::NoEndpoint) => (self.refuse(job, "no endpoint\n"), "no-endpoint"),
             Verdict::NotRun(NoPlace::Full) => (self.refuse(job, "no free place in time\n"), "full"),
-            Verdict::NotRun(NoPlace::Quarantined) => (self.refuse(job, "it ends its endpoints\n"), "quarantined"),
+            Verdict::NotRun(NoPlace::Quarantined) => (self.refuse_quarantined(job), "quarantined"),
             Verdict::Unknown => (answer(StatusCode::BAD_GATEWAY, "it may have run\n"), "unknown"),
             Verdict::OutOfTime => (answer(StatusCode::GATEWAY_TIMEOUT, "out of time\n"), "timeout"),
         };
@@ -337,6 +342,14 @@
         finish(self, resp)
     }
 
+    /// Refuses a request that is held back; it may come back for its next trial.
+    fn refuse_quarantined(&self, job: &Job) -> Answer {
+        let mut resp = answer(StatusCode::SERVICE_UNAVAILABLE, "held back: endpoints ended under it\n");
+        let (name, value) = platform::retry_after(self.guard.trial_in(job.fingerprint).unwrap_or(NO_TRIAL));
+        resp.headers_mut().insert(name, value);
+        resp
+    }
+
     fn refuse(&self, job: &Job, why: &'static str) -> Answer {
         come_back(answer(StatusCode::SERVICE_UNAVAILABLE, why), job.route().rank)
     }
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -90,7 +90,7 @@
             let left = patience.saturating_duration_since(clock::now());
             match timeout(left, self.ask(job, &choice, patience, start)).await {
                 Ok(Some(it)) => return Ok(it),
-                Ok(None) if self.guard.case(job.fingerprint).is_held() => return Err(NoPlace::Quarantined),
+                Ok(None) if self.is_held(job) => return Err(NoPlace::Quarantined),
                 Ok(None) => (),
                 Err(_) => return Err(NoPlace::Full),
             }
@@ -252,6 +252,7 @@
             route: job.route().name.clone(),
             fingerprint: job.fingerprint,
             case: self.guard.case(job.fingerprint),
+            released: job.released.get(),
             idempotent: job.idempotent(),
             trial: Self::may_be_trial(job),
             arrival: job.next_arrival(),
--- a/src/proxy/join.rs
+++ b/src/proxy/join.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    platform::{Consistency, PresenceList, PresenceObject},
+    platform::{Consistency, Listing, PresenceObject},
     proxy::{Proxy, backoff::Backoff, clock},
 };
 
@@ -29,7 +29,7 @@
             }
         };
         backoff.answered();
-        let is_listed = listed.presences.contains(&presence);
+        let is_listed = listed.objects.contains(&presence);
         self.take_list(listed);
         if is_listed {
             return;
@@ -50,7 +50,7 @@
                 Ok(it) => {
                     backoff.answered();
                     // A stale listing that holds it is newer than it.
-                    let is_listed = it.presences.contains(presence);
+                    let is_listed = it.objects.contains(presence);
                     self.take_list(it);
                     if is_listed || consistency == Consistency::Linearizable {
                         return;
@@ -71,13 +71,13 @@
         }
     }
 
-    fn take_list(&self, list: PresenceList) {
+    fn take_list(&self, list: Listing<PresenceObject>) {
         for it in &list.skipped {
             self.tell_skipped("store", &it.name, &it.why);
         }
         // An empty one may be older than all the fleet.
-        self.joined.set(self.joined.get() || !list.presences.is_empty());
-        let listed = list.presences.into_iter().filter(|it| it.name != self.name);
+        self.joined.set(self.joined.get() || !list.objects.is_empty());
+        let listed = list.objects.into_iter().filter(|it| it.name != self.name);
         self.directory.borrow_mut().seed(listed, clock::now());
         self.members_changed.notify_one();
     }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -78,6 +78,8 @@
     pub fingerprint: Fingerprint,
     /// What the ingress knows against it.
     pub case: Case,
+    /// It is the trial of a request that is held back.
+    pub released: bool,
     /// Whether the work may run again.
     pub idempotent: bool,
     /// Whether a suspect endpoint may be tried with it.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -20,6 +20,7 @@
 mod net;
 mod peer;
 mod peers;
+mod quarantine;
 pub mod routes;
 mod server;
 pub mod settings;
--- /dev/null
+++ b/src/proxy/quarantine.rs
@@ -0,0 +1,148 @@
+//! What proxies and the store tell each other of requests that end their endpoints.
+//!
+//! Between proxies it spreads as versions do. The store has what is held back, so that it outlasts the end of all proxies at
+//! once; and it decides which proxy begins a trial, where several want to.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::seq::IndexedRandom as _;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    decide::{
+        fingerprint::Fingerprint,
+        quarantine::{Case, ToldCase},
+    },
+    platform::{Consistency, QuarantineObject, StoreFailure, Trial},
+    proxy::{
+        Proxy,
+        backoff::Backoff,
+        guard::quarantined::Source,
+        message::{Cases, path},
+        peer::Link,
+        spread::{GATHER, HELLO_TIMEOUT},
+    },
+};
+
+/// How many peers are told of a request by each proxy that learns of it: all but a few in a thousand hear of it so, before
+/// its next attempt as a rule.
+const RELAYS: usize = 6;
+/// How long a request may be kept waiting for the store to say whether its trial begins: the store answers in milliseconds,
+/// and a refusal should come at once.
+const TRIAL_WAIT: Duration = Duration::from_millis(300);
+
+impl Proxy {
+    /// Tells some peers of what is known anew against requests; they tell others.
+    pub(super) async fn relay_cases(self: Rc<Self>) {
+        loop {
+            self.guard.cases_changed.notified().await;
+            sleep(GATHER).await;
+            for fingerprint in self.guard.take_found() {
+                spawn_local(Rc::clone(&self).write_down(fingerprint));
+            }
+            let news = Cases { cases: self.guard.take_quarantine_news(), exchange: false };
+            let links: Vec<Rc<Link>> = self.links.borrow().iter().map(|it| Rc::clone(&it.1)).collect();
+            let connected: Vec<&Rc<Link>> = links.iter().filter(|it| it.is_connected()).collect();
+            for link in connected.sample(&mut rand::rng(), RELAYS) {
+                let (link, news) = (Rc::clone(link), news.clone());
+                spawn_local(async move {
+                    // What is lost here comes with an exchange.
+                    _ = link.call_within::<_, Vec<ToldCase>>(HELLO_TIMEOUT, path::CASES, &news).await;
+                });
+            }
+        }
+    }
+
+    /// Takes in what a peer knows against requests, and answers with what is known here if that is wanted.
+    pub(super) fn exchange_cases(&self, theirs: &Cases) -> Vec<ToldCase> {
+        self.guard.take_cases(&theirs.cases, Source::Peer);
+        if theirs.exchange { self.guard.cases() } else { Vec::new() }
+    }
+
+    /// Exchanges cases with a peer whose digest differs.
+    pub(super) async fn even_out_cases(&self, their_digest: u64, link: &Rc<Link>) {
+        if their_digest == self.guard.cases_digest() {
+            return;
+        }
+        let ours = Cases { cases: self.guard.cases(), exchange: true };
+        if let Some(it) = link.call_within::<_, Vec<ToldCase>>(HELLO_TIMEOUT, path::CASES, &ours).await {
+            self.guard.take_cases(&it, Source::Peer);
+        }
+    }
+
+    /// Takes in once what the store has of an earlier time.
+    pub(super) async fn read_first_quarantine(self: Rc<Self>) {
+        let mut backoff = Backoff::new(&self);
+        while let Err(error) = self.read_quarantine(Consistency::Stale).await {
+            backoff.failed(&error).await;
+        }
+    }
+
+    /// Takes in what the store has.
+    pub(super) async fn read_quarantine(&self, consistency: Consistency) -> Result<(), StoreFailure> {
+        let list = self.store.quarantined(consistency).await?;
+        for it in &list.skipped {
+            self.tell_skipped("store", &it.name, &it.why);
+        }
+        let told =
+            list.objects.iter().map(|it| ToldCase { fingerprint: it.fingerprint, case: it.case, age: Duration::ZERO });
+        self.guard.take_cases(&told.collect::<Vec<_>>(), Source::Store);
+        Ok(())
+    }
+
+    /// Writes down that a request is held back, or takes that back.
+    async fn write_down(self: Rc<Self>, fingerprint: Fingerprint) {
+        let mut backoff = Backoff::new(&self);
+        loop {
+            let case = self.guard.case(fingerprint);
+            let done = if case.is_held() {
+                let object = QuarantineObject { fingerprint, case, by: self.name.clone() };
+                self.store.add_quarantined(&object).await
+            } else if case.is_cleared() {
+                self.store.remove_quarantined(fingerprint).await
+            } else {
+                return;
+            };
+            match done {
+                Ok(()) => break,
+                Err(error) => backoff.failed(&error).await,
+            }
+        }
+        backoff.answered();
+    }
+
+    /// Begins the trial of a request that is held back, if one is due and no other proxy begins it.
+    pub(super) async fn begin_trial(&self, fingerprint: Fingerprint) -> bool {
+        if self.guard.trial_in(fingerprint) != Some(Duration::ZERO) {
+            return false;
+        }
+        // Other requests of this kind that come meanwhile are refused.
+        self.guard.put_off_trial(fingerprint);
+        let object = QuarantineObject { fingerprint, case: self.guard.case(fingerprint), by: self.name.clone() };
+        match timeout(TRIAL_WAIT, self.store.begin_trial(&object)).await {
+            Ok(Ok(Trial::Begun(case))) => {
+                self.take_trial(fingerprint, case);
+                true
+            }
+            Ok(Ok(Trial::AnotherS(case))) => {
+                self.take_trial(fingerprint, case);
+                false
+            }
+            Ok(Err(error)) => {
+                log::debug!("no trial of {fingerprint}: {error}");
+                false
+            }
+            Err(_) => {
+                log::debug!("no trial of {fingerprint}: no answer from the store in {TRIAL_WAIT:?}");
+                false
+            }
+        }
+    }
+
+    fn take_trial(&self, fingerprint: Fingerprint, case: Case) {
+        self.guard.take_cases(&[ToldCase { fingerprint, case, age: Duration::ZERO }], Source::Trial);
+    }
+}
--- a/src/proxy/spread.rs
+++ b/src/proxy/spread.rs
@@ -9,31 +9,27 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
-    decide::quarantine::ToldCase,
     platform::ParsedConfig,
     proxy::{
         Proxy, clock,
         directory::{Brief, Current, Row},
         events::Event,
-        message::{Cases, Deliver, Delivered, Hello, News, Summary, Welcome, path},
+        message::{Deliver, Delivered, Hello, News, Summary, Welcome, path},
         peer::Link,
     },
     rows::{Compare, Compared, Stamp},
 };
 
 /// Changes of our row are gathered this long.
-const GATHER: Duration = Duration::from_millis(20);
+pub(super) const GATHER: Duration = Duration::from_millis(20);
 /// How long a greeting, or a step of an exchange, may take.
-const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a whole configuration may take from a peer: half of the time in which it must be in force,
 /// so that another peer can be asked.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
 /// How many peers a new version is told to at once by each that has it: all but 2 in 100 hear of it so, the rest with
 /// the next request or exchange.
 const RELAYS: usize = 4;
-/// How many peers are told of a request that ends its endpoints by each that learns of it: all but a few in a thousand
-/// hear of it so, before its next attempt as a rule.
-const CASE_RELAYS: usize = 6;
 /// The pause between exchanges of rows: a change is known to hundreds in about six rounds.
 const EXCHANGE_EVERY: Duration = Duration::from_secs(1);
 /// The pause while the directory has just begun to fill.
@@ -223,12 +219,7 @@
             return;
         };
         self.take_summary(theirs, link);
-        if theirs.cases != self.guard.cases_digest() {
-            let ours = Cases { cases: self.guard.cases(), exchange: true };
-            if let Some(it) = link.call_within::<_, Vec<ToldCase>>(HELLO_TIMEOUT, path::CASES, &ours).await {
-                self.guard.take_cases(&it, "peer");
-            }
-        }
+        self.even_out_cases(theirs.cases, link).await;
         if theirs.digest == self.directory.borrow().digest() {
             return;
         }
@@ -296,30 +287,6 @@
         }
     }
 
-    /// Tells some peers of what is known anew against requests; they tell others.
-    pub(super) async fn relay_cases(self: Rc<Self>) {
-        loop {
-            self.guard.cases_changed.notified().await;
-            sleep(GATHER).await;
-            let news = Cases { cases: self.guard.take_quarantine_news(), exchange: false };
-            let links: Vec<Rc<Link>> = self.links.borrow().iter().map(|it| Rc::clone(&it.1)).collect();
-            let connected: Vec<&Rc<Link>> = links.iter().filter(|it| it.is_connected()).collect();
-            for link in connected.sample(&mut rand::rng(), CASE_RELAYS) {
-                let (link, news) = (Rc::clone(link), news.clone());
-                spawn_local(async move {
-                    // What is lost here comes with an exchange.
-                    _ = link.call_within::<_, Vec<ToldCase>>(HELLO_TIMEOUT, path::CASES, &news).await;
-                });
-            }
-        }
-    }
-
-    /// Takes in what a peer knows against requests, and answers with what is known here if that is wanted.
-    pub(super) fn exchange_cases(&self, theirs: &Cases) -> Vec<ToldCase> {
-        self.guard.take_cases(&theirs.cases, "peer");
-        if theirs.exchange { self.guard.cases() } else { Vec::new() }
-    }
-
     /// Fetches the configuration from a peer that has a newer one.
     pub(super) fn fetch_config(self: &Rc<Self>, link: &Rc<Link>) {
         // Many messages tell of a new version; one fetch is enough.
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -97,6 +97,10 @@
             backoff.answered();
             let mut revision = self.take_config(object);
             self.confirm(clock::now().saturating_duration_since(asked));
+            // What others read at their start may have been some seconds old.
+            if let Err(error) = self.read_quarantine(Consistency::Linearizable).await {
+                backoff.failed(&error).await;
+            }
             while self.watches(start) {
                 let watch = Watch::by_luck(rand::rng().random());
                 match self.store.watch_config(revision, watch).await {
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -152,6 +152,7 @@
         match method.as_str() {
             "GET" if query.contains("watch=") => self.watch(kind, query),
             "GET" if name.is_empty() => self.list(kind),
+            "GET" if found => (200, self.object(kind, name)),
             "POST" => {
                 let name = body["metadata"]["name"].as_str().unwrap_or("").to_owned();
                 if self.names(kind).contains(&name) {
@@ -161,6 +162,10 @@
                 (200, Value::Null)
             }
             "PUT" if found => {
+                let revision = &body["metadata"]["revision"];
+                if revision.is_u64() && *revision != self.object(kind, name)["metadata"]["revision"] {
+                    return (409, Value::Null);
+                }
                 self.put(kind, name, body["spec"].clone());
                 (200, Value::Null)
             }
@@ -174,6 +179,12 @@
         }
     }
 
+    fn object(&self, kind: &str, name: &str) -> Value {
+        let state = self.lock();
+        let found = state.objects.iter().find(|it| it.kind == kind && it.name == name);
+        found.map_or(Value::Null, Stored::value)
+    }
+
     fn list(&self, kind: &str) -> (u16, Value) {
         let state = self.lock();
         let items: Vec<Value> = state.objects.iter().filter(|it| it.kind == kind).map(Stored::value).collect();
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -91,18 +91,22 @@
     assert!(later(&runs) <= MORE, "{} of {} runs came after it had to be known", later(&runs), runs.len());
 }
 
-#[test]
-fn a_request_that_ends_its_endpoints_is_known_after_all_proxies_were_killed() {
+#[rstest]
+#[case::once(1)]
+#[case::thrice(3)]
+fn a_request_that_ends_its_endpoints_is_known_after_all_proxies_were_killed(#[case] times: usize) {
     let line = "GET /read/crash";
     let mut site = site(line);
     send_on(&site, line, "crash", DAY / 3);
     let before = runs(&site, line).len();
 
-    site.proxies.iter_mut().for_each(|it| it.kill());
-    site.proxies.iter_mut().for_each(|it| it.restart().expect("a proxy starts"));
-    assert!(eventually(|| site.proxies.iter().all(|it| it.is_ready())));
-    thread::sleep(KNOWN_AFTER);
-    send_on(&site, line, "again", DAY / 2);
+    for time in 0..times {
+        site.proxies.iter_mut().for_each(|it| it.kill());
+        site.proxies.iter_mut().for_each(|it| it.restart().expect("a proxy starts"));
+        assert!(eventually(|| site.proxies.iter().all(|it| it.is_ready())));
+        thread::sleep(KNOWN_AFTER);
+        send_on(&site, line, &format!("again-{time}"), DAY / 3);
+    }
 
     let after = runs(&site, line).len() - before;
     println!("{before} runs before the kill, {after} after it");
--- /dev/null
+++ b/standins/tests/quarantine.rs
@@ -0,0 +1,95 @@
+//! Requests that are held back: trials in one proxy's name only, and the way out for one that ends nothing.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use jayreach::{
+    decide::{fingerprint::Fingerprint, quarantine::Quarantine},
+    platform::{QuarantineObject, Store, Trial},
+};
+use serde_json::json;
+use standins::platform::{
+    desk::{self, ask, call},
+    site::{HOST, eventually},
+    store,
+};
+use tokio::task::LocalSet;
+
+const KIND: &str = "jayreach-quarantine";
+
+/// A read that is held back, whether it should be or not.
+fn held(target: &str) -> QuarantineObject {
+    let fingerprint = Fingerprint::of("GET", HOST, target, b"", b"");
+    let mut quarantine = Quarantine::default();
+    for _ in 0..2 {
+        quarantine.end_under(&[(fingerprint, quarantine.case(fingerprint))], Instant::now());
+    }
+    QuarantineObject { fingerprint, case: quarantine.case(fingerprint), by: "vm-1".into() }
+}
+
+fn run<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, work)
+}
+
+#[test]
+fn of_proxies_that_want_to_begin_a_trial_one_does() {
+    let store = store::Store::start().expect("a store");
+    let client = Store::new(store.address);
+    let known = held("/read/page");
+
+    run(async {
+        client.add_quarantined(&known).await.expect("it is written");
+        let first = client.begin_trial(&known).await.expect("an answer");
+        let second = client.begin_trial(&QuarantineObject { by: "vm-2".into(), ..known.clone() }).await;
+
+        let Trial::Begun(case) = first else { panic!("{first:?}") };
+        assert_eq!(case.trials(), 1);
+        assert_eq!(second.expect("an answer"), Trial::AnotherS(case));
+    });
+}
+
+#[test]
+fn an_object_that_was_changed_meanwhile_is_not_written_over() {
+    let store = store::Store::start().expect("a store");
+    let client = Store::new(store.address);
+    let known = held("/read/page");
+
+    run(async {
+        client.add_quarantined(&known).await.expect("it is written");
+        let (one, other) = tokio::join!(client.begin_trial(&known), client.begin_trial(&known));
+        let begun = [one, other].into_iter().filter(|it| matches!(it, Ok(Trial::Begun(_)))).count();
+        assert_eq!(begun, 1);
+    });
+}
+
+/// Whatever brought it there, the way out is its first trial.
+#[test]
+fn a_request_that_is_held_back_and_ends_nothing_is_free_after_its_first_trial() {
+    let mut site = desk::site();
+    let object = held("/read/page");
+    let name = object.fingerprint.to_string();
+    site.store.put(KIND, &name, json!(object));
+    site.proxies.iter_mut().for_each(|it| it.restart().expect("a proxy starts"));
+    assert!(site.wait_for(3));
+    assert!(eventually(|| ask(&site, "GET /read/page", "early").status() == 503), "it is held back");
+    let start = Instant::now();
+
+    let mut told = Vec::new();
+    while start.elapsed() < Duration::from_secs(40) && !told.contains(&200) {
+        told.push(ask(&site, "GET /read/page", &format!("r-{}", told.len())).status());
+        thread::sleep(Duration::from_millis(500));
+    }
+
+    assert_eq!(told.last(), Some(&200), "after {:?}: {told:?}", start.elapsed());
+    assert!(eventually(|| site.store.names(KIND).is_empty()), "the store is told, too");
+    let everywhere = site.proxies.iter().enumerate().all(|(at, it)| {
+        eventually(|| {
+            let answer = call("GET /read/page", &format!("after-{at}")).answer(it.callers);
+            answer.is_ok_and(|it| it.status() == 200)
+        })
+    });
+    assert!(everywhere);
+}
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -40,6 +40,7 @@
     Purpose {
         route: "r".into(),
         fingerprint: Fingerprint::default(),
+        released: false,
         idempotent: false,
         repeat_share: 0.0,
         trial: false,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -118,6 +118,42 @@
     assert!(quarantine.counts().0 <= 2_048);
 }
 
+/// Pauses between trials grow, and there are three.
+#[test]
+fn trials_come_further_and_further_apart_and_end() {
+    let mut quarantine = Quarantine::default();
+    let request = fingerprint(1);
+    let mut now = Instant::now();
+    (0..2).for_each(|_| end_under(&mut quarantine, &[request], now));
+
+    let mut pauses = Vec::new();
+    while let Some(pause) = quarantine.trial_in(request, now) {
+        pauses.push(pause.as_secs());
+        now += pause;
+        assert_eq!(quarantine.trial_in(request, now), Some(Duration::ZERO));
+        // It begins, and ends its endpoint.
+        let trial = quarantine.case(request).with_trial();
+        quarantine.merge(request, trial, now);
+        end_under(&mut quarantine, &[request], now);
+    }
+
+    assert_eq!(pauses, [30, 300, 3_600]);
+    assert!(quarantine.case(request).is_held());
+}
+
+#[test]
+fn a_trial_that_is_put_off_is_due_after_its_whole_pause() {
+    let mut quarantine = Quarantine::default();
+    let request = fingerprint(1);
+    let now = Instant::now();
+    (0..2).for_each(|_| end_under(&mut quarantine, &[request], now));
+    let due = now + quarantine.trial_in(request, now).expect("it has a trial");
+
+    quarantine.put_off_trial(request, due);
+
+    assert_eq!(quarantine.trial_in(request, due), Some(Duration::from_secs(30)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
 
--- a/tests/store_listing.rs
+++ b/tests/store_listing.rs
@@ -8,7 +8,7 @@
 
 use jayreach::{
     decide::watchers::Watch,
-    platform::{Consistency, PresenceList, Store, WatchEnd},
+    platform::{Consistency, Listing, PresenceObject, Store, WatchEnd},
 };
 use tokio::task::LocalSet;
 
@@ -33,8 +33,8 @@
     LocalSet::new().block_on(&runtime, work)
 }
 
-fn names(list: &PresenceList) -> (Vec<&str>, Vec<&str>) {
-    (list.presences.iter().map(|it| &*it.name).collect(), list.skipped.iter().map(|it| &*it.name).collect())
+fn names(list: &Listing<PresenceObject>) -> (Vec<&str>, Vec<&str>) {
+    (list.objects.iter().map(|it| &*it.name).collect(), list.skipped.iter().map(|it| &*it.name).collect())
 }
 
 #[test]
@@ -63,7 +63,7 @@
 
     let list = run(store.presences(Consistency::Linearizable)).expect("a listing");
 
-    assert_eq!((list.presences.len(), list.skipped.len()), (0, 2));
+    assert_eq!((list.objects.len(), list.skipped.len()), (0, 2));
 }
 
 #[test]
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -27,6 +27,7 @@
         needs_allowance: false,
         repeat_share: 0.0,
         fingerprint: Fingerprint::default(),
+        released: false,
         route: "r".into(),
     }
 }
