--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -190,6 +190,9 @@
     /// A version of the configuration
     #[bpaf(argument("VERSION"))]
     pub(super) config: Option<u64>,
+    /// What requests ask for, as `failed` and `ended-under` lines tell it
+    #[bpaf(argument("FINGERPRINT"))]
+    pub(super) fingerprint: Option<String>,
     /// Files with event lines
     #[bpaf(positional("FILE"), some("name the files with the event lines"))]
     pub(super) files: Vec<PathBuf>,
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -18,11 +18,14 @@
         for file in &self.files {
             read(file, &mut lines)?;
         }
-        let subject = match (self.endpoint, self.config, self.request) {
-            (Some(it), _, _) => Subject::Endpoint(it.into()),
-            (_, Some(it), _) => Subject::Config(it),
-            (_, _, Some(it)) => Subject::Request(it.into()),
-            (None, None, None) => return Err(Error::Usage("name a request, an endpoint or a configuration".into())),
+        let subjects = [
+            self.endpoint.map(|it| Subject::Endpoint(it.into())),
+            self.config.map(Subject::Config),
+            self.fingerprint.map(|it| Subject::Fingerprint(it.into())),
+            self.request.map(|it| Subject::Request(it.into())),
+        ];
+        let Some(subject) = subjects.into_iter().flatten().next() else {
+            return Err(Error::Usage("name a request, an endpoint, a configuration or a fingerprint".into()));
         };
         let history = explain(&lines, &subject);
         for it in &history.lines {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -27,6 +27,8 @@
     Endpoint(Box<str>),
     /// A version of the configuration.
     Config(u64),
+    /// Requests that ask for the same.
+    Fingerprint(Box<str>),
 }
 
 /// The lines about a subject and what follows from them.
@@ -65,6 +67,7 @@
             Subject::Endpoint(id) => {
                 *self.text("endpoint") == **id || (&*self.event == "endpoint" && *self.text("id") == **id)
             }
+            Subject::Fingerprint(it) => *self.text("fingerprint") == **it || *self.text("quarantined") == **it,
             Subject::Config(version) => &*self.event == "config" && self.number("version") == *version,
         }
     }
@@ -73,11 +76,18 @@
 /// Finds what `lines` say of `subject`.
 pub fn explain(lines: &[Line], subject: &Subject) -> History {
     let mut about: Vec<Line> = lines.iter().filter(|it| it.is_about(subject)).cloned().collect();
+    // What others like it did is part of the story of a request that was held back.
+    let held_back = about.iter().map(|it| it.text("quarantined")).find(|it| !it.is_empty());
+    if let Some(like_it) = held_back.map(|it| Subject::Fingerprint(it.into())) {
+        let tells = |it: &&Line| matches!(&*it.event, "ended-under" | "quarantine") && it.is_about(&like_it);
+        about.extend(lines.iter().filter(tells).filter(|it| !it.is_about(subject)).cloned());
+    }
     about.sort_by(|a, b| a.time.total_cmp(&b.time));
     let cause = match subject {
         Subject::Request(id) => request_cause(id, &about, lines),
         Subject::Endpoint(id) => endpoint_cause(id, &about),
         Subject::Config(version) => config_cause(*version, &about, lines),
+        Subject::Fingerprint(it) => fingerprint_cause(it, &about),
     };
     History { lines: about, cause }
 }
@@ -104,6 +114,10 @@
         }
         "answered" => endpoint_failed(id, status, failed, about, all),
         "full" => no_place(answer, about),
+        "quarantined" => {
+            let fingerprint = answer.text("quarantined");
+            format!("It was held back: {} It has not run.", ends_under(fingerprint, about))
+        }
         "no-endpoint" => format!("{} knew no endpoint of {}.", answer.proxy, answer.text("service")),
         "unknown" => format!(
             "{} It may have run, so it was not sent again, and 502 promises nothing.",
@@ -169,6 +183,14 @@
 }
 
 fn attempt_failed(it: &Line) -> String {
+    if it.fields.get("why").and_then(|it| it.get("unknown")).and_then(Value::as_str) == Some("Ended") {
+        return format!(
+            "The endpoint beside {} ended with it after {} ms; explain --fingerprint {} tells of others like it.",
+            it.text("guard"),
+            it.number("took_ms"),
+            it.text("fingerprint")
+        );
+    }
     let why = it.fields.get("why").map_or_else(String::new, Value::to_string);
     format!(
         "Attempt {} at {} ended after {} ms with {why}.",
@@ -178,6 +200,27 @@
     )
 }
 
+fn fingerprint_cause(fingerprint: &str, about: &[Line]) -> String {
+    let held_back = about.iter().filter(|it| !it.text("quarantined").is_empty()).count();
+    let last = about.iter().rfind(|it| &*it.event == "quarantine");
+    let now = match last {
+        Some(it) if it.fields.get("held").and_then(Value::as_bool) == Some(true) => "It was held back last.".to_owned(),
+        Some(it) => format!("It is held back no longer ({} at {}).", it.text("source"), it.proxy),
+        None => "It was never held back.".to_owned(),
+    };
+    format!("{} {held_back} request(s) were held back. {now}", ends_under(fingerprint, about))
+}
+
+/// Which endpoints ended under requests with this fingerprint.
+fn ends_under(fingerprint: &str, about: &[Line]) -> String {
+    let ends: Vec<String> = about
+        .iter()
+        .filter(|it| &*it.event == "ended-under" && it.text("fingerprint") == fingerprint)
+        .map(|it| format!("{} ({})", it.text("endpoint"), it.text("request")))
+        .collect();
+    format!("{} endpoint(s) ended under requests with the fingerprint {fingerprint}: {}.", ends.len(), ends.join(", "))
+}
+
 fn endpoint_cause(id: &str, about: &[Line]) -> String {
     let last = about.iter().rev().find(|it| &*it.event == "endpoint");
     let turned = about.iter().rev().find(|it| &*it.event == "standing");
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod demo;
 pub mod deployment;
+pub mod door;
 pub mod endpoint;
 pub mod fleet;
 pub mod gray;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -138,6 +138,8 @@
         /// How many proxies
         #[bpaf(argument("COUNT"), fallback(6))]
         proxies: usize,
+        /// Have a request come again and again that ends its endpoints
+        crashing: bool,
         /// Print each fault
         verbose: bool,
     },
@@ -200,11 +202,12 @@
         Command::Idle { daemons, changes, endpoints, large } => {
             idle::run(IdleOptions { daemons, changes, endpoints, large }).map(|()| true)
         }
-        Command::ProxySoak { seed, count, seconds, proxies, verbose } => {
+        Command::ProxySoak { seed, count, seconds, proxies, crashing, verbose } => {
             let duration = Duration::from_secs(seconds);
             let mut holds = true;
             for seed in seed..seed + count {
-                let verdict = platform::soak::run(&platform::soak::SoakOptions { seed, duration, proxies, verbose })?;
+                let verdict =
+                    platform::soak::run(&platform::soak::SoakOptions { seed, duration, proxies, crashing, verbose })?;
                 println!("seed {seed}: {}: {verdict}", if verdict.holds() { "kept" } else { "BROKEN" });
                 holds &= verdict.holds();
             }
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, BufReader, Read as _, Write as _},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicU64, Ordering},
@@ -13,7 +13,11 @@
 
 use socket2::SockRef;
 
-use crate::platform::http::{self, Message};
+use crate::{
+    door::Door,
+    platform::http::{self, Message},
+    relay::Relay,
+};
 
 /// An announcement is acknowledged within this, or not at all.
 const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(1);
@@ -84,8 +88,6 @@
     down: bool,
     /// Its lives so far.
     lives: u32,
-    /// `None` while it is down.
-    listener: Option<TcpListener>,
     /// Connections that are served.
     open: Vec<Weak<TcpStream>>,
     health_path: String,
@@ -106,6 +108,8 @@
     pub address: SocketAddr,
     service: Arc<str>,
     slots: u32,
+    /// Its own listener, and those of relays before it.
+    doors: Arc<Mutex<Vec<Door>>>,
     state: Arc<Mutex<State>>,
     sequence: Arc<AtomicU64>,
 }
@@ -113,13 +117,12 @@
 impl Endpoint {
     /// Starts one on a free port; it announces nothing yet.
     pub fn start(service: &str, instance: &str, slots: u32, work: Duration) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let door = Door::open()?;
         let state = State {
             mode: EndpointMode::Good,
             crash: None,
             down: false,
             lives: 1,
-            listener: None,
             open: Vec::new(),
             health_path: "/health".into(),
             work,
@@ -131,42 +134,22 @@
             most_running: 0,
         };
         let endpoint = Self {
-            address: listener.local_addr()?,
+            address: door.address,
+            doors: Arc::new(Mutex::new(vec![door])),
             service: service.into(),
             slots,
             state: Arc::new(Mutex::new(state)),
             sequence: Arc::new(AtomicU64::new(1)),
         };
         let serving = endpoint.clone();
-        thread::spawn(move || serving.live(listener));
-        Ok(endpoint)
-    }
-
-    /// Serves, and comes back after each crash.
-    fn live(&self, mut listener: TcpListener) {
-        loop {
-            self.lock().listener = listener.try_clone().ok();
-            while let Ok((stream, _)) = listener.accept() {
-                let endpoint = self.clone();
+        let door = endpoint.doors.lock().unwrap_or_else(PoisonError::into_inner)[0].clone();
+        thread::spawn(move || {
+            door.serve(|stream| {
+                let endpoint = serving.clone();
                 thread::spawn(move || endpoint.serve(stream));
-            }
-            drop(listener);
-            let down_for = self.lock().crash.as_ref().map_or(Duration::ZERO, |it| it.down_for);
-            thread::sleep(down_for);
-            listener = match TcpListener::bind(self.address) {
-                Ok(it) => it,
-                Err(error) => {
-                    eprintln!("{} stays down: {error}", self.address);
-                    return;
-                }
-            };
-            let mut state = self.lock();
-            state.lives += 1;
-            let instance = format!("{}-life-{}", state.instance, state.lives);
-            drop(state);
-            self.replace(&instance);
-            self.lock().down = false;
-        }
+            });
+        });
+        Ok(endpoint)
     }
 
     /// From now on a request for this target ends it: it works for a moment, and is back after `down_for` in a new life.
@@ -174,17 +157,44 @@
         self.lock().crash = Some(Crash { target: target.into(), after, down_for });
     }
 
-    /// Ends: nobody listens any more, and all connections break off.
-    fn crash(&self) {
+    /// A relay before it refuses connections while it is down, as its own address does.
+    pub fn stands_behind(&self, relay: &Relay) {
+        self.doors.lock().unwrap_or_else(PoisonError::into_inner).push(relay.door.clone());
+    }
+
+    /// Ends: nobody listens any more, and all connections break off. It is back some time later.
+    fn crash(&self, down_for: Duration) {
+        let doors = self.doors.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        doors.iter().for_each(Door::close);
         let mut state = self.lock();
-        state.down = true;
-        // A listener that is shut down refuses connections from that moment on.
-        if let Some(it) = state.listener.take() {
-            _ = SockRef::from(&it).shutdown(Shutdown::Both);
+        if std::mem::replace(&mut state.down, true) {
+            return;
         }
         for it in state.open.drain(..).filter_map(|it| it.upgrade()) {
             _ = it.shutdown(Shutdown::Both);
         }
+        drop(state);
+        let endpoint = self.clone();
+        thread::spawn(move || {
+            thread::sleep(down_for);
+            endpoint.come_back(&doors);
+        });
+    }
+
+    /// Starts again, in a new life.
+    fn come_back(&self, doors: &[Door]) {
+        let mut state = self.lock();
+        state.lives += 1;
+        let instance = format!("{}-life-{}", state.instance, state.lives);
+        drop(state);
+        self.replace(&instance);
+        for it in doors {
+            if let Err(error) = it.reopen() {
+                eprintln!("{} stays down: {error}", it.address);
+                return;
+            }
+        }
+        self.lock().down = false;
     }
 
     /// Whether it has crashed and is not back.
@@ -317,7 +327,7 @@
         let crash = self.lock().crash.clone().filter(|it| it.target == req.second() && !wrong && !sheds);
         if let Some(it) = crash {
             self.work(at, it.after, writer);
-            self.crash();
+            self.crash(it.down_for);
             return false;
         }
         if wrong {
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -110,6 +110,7 @@
         let mut relays = None;
         if self.relays {
             let it = Relays::start(ports[1], endpoint.address, store)?;
+            endpoint.stands_behind(&it.endpoint);
             (advertised, endpoint.address, store) = (it.peers.address, it.endpoint.address, it.store.address);
             relays = Some(it);
         }
--- a/standins/src/platform/soak/callers.rs
+++ b/standins/src/platform/soak/callers.rs
@@ -19,6 +19,9 @@
 /// The pause after a connection that could not be opened.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// How a refusal begins of a request that ends its endpoints.
+const HELD_BACK: &[u8] = b"held back";
+
 /// What a caller learnt of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Outcome {
@@ -28,6 +31,8 @@
         status: u16,
         /// Whether it is the endpoint's whole answer to this request.
         genuine: bool,
+        /// Whether it was refused as one that ends its endpoints.
+        held_back: bool,
     },
     /// The connection ended without one.
     Closed,
@@ -93,14 +98,19 @@
     }
 
     fn connect(&self) -> std::io::Result<BufReader<TcpStream>> {
-        let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
+        Self::connect_to(self.address)
+    }
+
+    /// Opens a connection to a proxy.
+    pub(super) fn connect_to(address: SocketAddr) -> std::io::Result<BufReader<TcpStream>> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_read_timeout(Some(SILENCE))?;
         Ok(BufReader::new(stream))
     }
 }
 
 /// Sends a request and reads its answer; says whether the connection may be used again.
-fn exchange(stream: &mut BufReader<TcpStream>, line: &str, request: &str) -> (Outcome, bool) {
+pub(super) fn exchange(stream: &mut BufReader<TcpStream>, line: &str, request: &str) -> (Outcome, bool) {
     let body: &[u8] = if line.starts_with("POST") { request.as_bytes() } else { b"" };
     let call = Call { line, host: HOST, request, deadline: DEADLINE, body };
     if stream.get_mut().write_all(&call.text()).is_err() {
@@ -113,7 +123,8 @@
                 && answer.header("x-request-id") == Some(request)
                 && (status != 200 || answer.body.ends_with(format!(" {request}").as_bytes()));
             let kept = answer.header("connection") != Some("close");
-            (Outcome::Told { status, genuine }, kept)
+            let held_back = answer.body.starts_with(HELD_BACK);
+            (Outcome::Told { status, genuine, held_back }, kept)
         }
         Ok(None) => (Outcome::Closed, false),
         Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => (Outcome::Silent, false),
--- a/standins/src/platform/soak/faults.rs
+++ b/standins/src/platform/soak/faults.rs
@@ -113,6 +113,19 @@
     }
 }
 
+impl Fault {
+    /// Whom it troubles so that news may not reach it in time: the proxy `at`, or the store.
+    fn troubles(self, at: usize) -> Option<Option<usize>> {
+        match self {
+            Self::Kill | Self::Pause | Self::Stop(_) | Self::Weather(..) | Self::Silence(_) | Self::Reset(_) => {
+                Some(Some(at))
+            }
+            Self::Store(_) | Self::Compact => Some(None),
+            Self::Reload | Self::Endpoint(_) | Self::Leave | Self::Replace | Self::Change => None,
+        }
+    }
+}
+
 /// One end of a fault's time.
 struct Cue {
     at: Duration,
@@ -129,6 +142,26 @@
     pub(super) to: Instant,
 }
 
+/// A time in which a proxy, or the store, is in trouble.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Troubled {
+    /// `None` for the store.
+    pub(super) proxy: Option<usize>,
+    pub(super) from: Instant,
+    /// `None` while it lasts.
+    pub(super) to: Option<Instant>,
+}
+
+/// What was played, for the promises' check.
+pub(super) struct Played {
+    /// The last version of the configuration.
+    pub(super) version: u32,
+    pub(super) crashes: usize,
+    pub(super) disturbed: Vec<Disturbed>,
+    pub(super) troubled: Vec<Troubled>,
+    pub(super) left: Vec<Left>,
+}
+
 /// An endpoint whose leaving was acknowledged, until another took its place.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Left {
@@ -146,6 +179,7 @@
     endpoints: u32,
     crashes: usize,
     disturbed: Vec<Disturbed>,
+    troubled: Vec<Troubled>,
     left: Vec<Left>,
     /// Proxies that were told to end.
     down: Vec<bool>,
@@ -162,6 +196,7 @@
             endpoints: 1_000,
             crashes: 0,
             disturbed: Vec::new(),
+            troubled: Vec::new(),
             left: Vec::new(),
             down,
         }
@@ -182,9 +217,10 @@
         self.count_crashes()
     }
 
-    /// The last version, crashes, and what the promises' check needs.
-    pub(super) fn close(self) -> (u32, usize, Vec<Disturbed>, Vec<Left>) {
-        (self.version, self.crashes, self.disturbed, self.left)
+    /// What was played.
+    pub(super) fn close(self) -> Played {
+        let Self { version, crashes, disturbed, troubled, left, .. } = self;
+        Played { version, crashes, disturbed, troubled, left }
     }
 
     fn script(&mut self) -> Vec<Cue> {
@@ -207,6 +243,9 @@
 
     fn begin(&mut self, fault: Fault, at: usize) {
         let now = Instant::now();
+        if let Some(proxy) = fault.troubles(at) {
+            self.troubled.push(Troubled { proxy, from: now, to: None });
+        }
         let proxy = &mut self.site.proxies[at];
         match fault {
             Fault::Kill => {
@@ -258,6 +297,11 @@
             Fault::Weather(side, _) => side.of(&proxy.relays).set(Weather::Fair),
             Fault::Reload | Fault::Replace | Fault::Compact | Fault::Change | Fault::Silence(_) | Fault::Reset(_) => (),
         }
+        if let Some(proxy) = fault.troubles(at)
+            && let Some(it) = self.troubled.iter_mut().find(|it| it.proxy == proxy && it.to.is_none())
+        {
+            it.to = Some(Instant::now());
+        }
         Ok(())
     }
 
--- a/standins/src/platform/soak/mod.rs
+++ b/standins/src/platform/soak/mod.rs
@@ -6,6 +6,7 @@
 //! lines, no clock that can be set; a pause is what misbehaves there.
 
 mod callers;
+mod crashing;
 mod faults;
 mod promises;
 
@@ -21,7 +22,7 @@
 pub use self::promises::Verdict;
 use self::{
     callers::Caller,
-    faults::Stage,
+    faults::{Played, Stage},
     promises::{Seen, judge},
 };
 use crate::platform::site::{Proxy, Site, config, route};
@@ -44,6 +45,8 @@
     pub duration: Duration,
     /// How many proxies, each with its endpoint.
     pub proxies: usize,
+    /// Whether a request that ends its endpoints comes again and again.
+    pub crashing: bool,
     /// Whether a line is printed for each fault.
     pub verbose: bool,
 }
@@ -62,24 +65,30 @@
     let callers: Vec<Caller> = (0..options.proxies * CALLERS)
         .map(|at| Caller::new(options.seed, at, site.proxies[at % options.proxies].callers, at % options.proxies))
         .collect();
+    let addresses: Vec<_> = site.proxies.iter().map(|it| it.callers).collect();
+    if options.crashing {
+        crashing::prepare(&site);
+    }
     let metrics: Vec<_> = site.proxies.iter().map(|it| it.metrics).collect();
     let over = AtomicBool::new(false);
     let mut stage = Stage::new(options, &mut site);
     let (records, reverts, played) = thread::scope(|scope| {
         let calling: Vec<_> = callers.into_iter().map(|it| scope.spawn(|| it.run(&over))).collect();
+        let crashing = options.crashing.then(|| scope.spawn(|| crashing::send(options.seed, &addresses, &over)));
         let watching = scope.spawn(|| watch_versions(&metrics, &over));
         let played = stage.play();
         over.store(true, Ordering::Release);
-        let records = calling.into_iter().flat_map(|it| it.join().expect("a caller does not panic")).collect();
+        let all = calling.into_iter().chain(crashing);
+        let records = all.flat_map(|it| it.join().expect("a caller does not panic")).collect();
         (records, watching.join().expect("the watch does not panic"), played)
     });
     played?;
-    let (version, crashes, disturbed, left) = stage.close();
+    let Played { version, crashes, disturbed, troubled, left } = stage.close();
     let converged = converges(&site, version);
     // Late runs of what was refused would be seen by now.
     let arrivals = site.proxies.iter().map(|it| it.endpoint.arrivals()).collect();
     let services = site.proxies.iter().map(|it| it.endpoint.service().to_owned()).collect();
-    Ok(judge(Seen { records, arrivals, services, disturbed, left, reverts, crashes, converged }))
+    Ok(judge(Seen { records, arrivals, services, disturbed, troubled, left, reverts, crashes, converged }))
 }
 
 /// The operator's configuration; odd versions send writes to both services.
--- a/standins/src/platform/soak/promises.rs
+++ b/standins/src/platform/soak/promises.rs
@@ -10,7 +10,8 @@
 
 use super::{
     callers::{Outcome, Record},
-    faults::{Disturbed, Left},
+    crashing,
+    faults::{Disturbed, Left, Troubled},
 };
 use crate::platform::endpoint::Arrival;
 
@@ -29,6 +30,7 @@
     /// The services of the endpoints, by proxy.
     pub(super) services: Vec<String>,
     pub(super) disturbed: Vec<Disturbed>,
+    pub(super) troubled: Vec<Troubled>,
     pub(super) left: Vec<Left>,
     pub(super) reverts: usize,
     pub(super) crashes: usize,
@@ -58,6 +60,10 @@
     pub after_leaving: usize,
     /// Connections that ended without an answer to what had been passed on.
     pub lost: usize,
+    /// Runs of a request that ends its endpoints after it had to be known, beyond what is allowed.
+    pub late_ends: usize,
+    /// Other requests that were refused as if they ended their endpoints.
+    pub held_back: usize,
     /// Versions that went back.
     pub reverts: usize,
     /// Proxies that ended of themselves.
@@ -78,6 +84,8 @@
             + self.denied
             + self.after_leaving
             + self.lost
+            + self.late_ends
+            + self.held_back
             + self.reverts
             + self.crashes;
         broken == 0 && !self.scattered
@@ -95,7 +103,7 @@
         write!(
             f,
             "requests {} (served {}, unknown {}); twice {}, refused but ran {}, mixed {}, unasked {}, denied {}, \
-             after leaving {}, lost {}, versions back {}, crashes {}, scattered {}",
+             after leaving {}, lost {}, late ends {}, held back {}, versions back {}, crashes {}, scattered {}",
             self.requests,
             self.served,
             self.unknown,
@@ -106,6 +114,8 @@
             self.denied,
             self.after_leaving,
             self.lost,
+            self.late_ends,
+            self.held_back,
             self.reverts,
             self.crashes,
             self.scattered
@@ -125,6 +135,7 @@
         ..Verdict::default()
     };
     check_arrivals(&seen, &mut verdict);
+    verdict.late_ends = crashing::late_runs(&seen.arrivals, &seen.records, &seen.troubled);
     let mut runs: Vec<&str> = seen.arrivals.iter().flatten().filter(|it| it.ran).map(|it| &*it.request).collect();
     runs.sort_unstable();
     for record in &seen.records {
@@ -140,13 +151,17 @@
         verdict.twice += 1;
         verdict.note("ran twice", &(record, ran));
     }
+    if matches!(record.outcome, Outcome::Told { held_back: true, .. }) && record.line != crashing::LINE {
+        verdict.held_back += 1;
+        verdict.note("held back, though it ends nothing", record);
+    }
     match record.outcome {
         Outcome::Told { status: 429 | 503 | 408 | 421, .. } if !record.idempotent && ran > 0 => {
             verdict.refused_but_ran += 1;
             verdict.note("refused, but ran", record);
         }
-        Outcome::Told { status: 200, genuine: true } => verdict.served += 1,
-        Outcome::Told { status: 200, genuine: false } => {
+        Outcome::Told { status: 200, genuine: true, .. } => verdict.served += 1,
+        Outcome::Told { status: 200, genuine: false, .. } => {
             verdict.mixed += 1;
             verdict.note("not the endpoint's answer", record);
         }
--- a/standins/src/platform/soak/promises/tests.rs
+++ b/standins/src/platform/soak/promises/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Disturbed, Left, Outcome, Record, Seen, Verdict, judge};
+use super::{Disturbed, Left, Outcome, Record, Seen, Troubled, Verdict, crashing, judge};
 use crate::platform::endpoint::Arrival;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -26,7 +26,7 @@
 }
 
 fn told(status: u16, genuine: bool) -> Outcome {
-    Outcome::Told { status, genuine }
+    Outcome::Told { status, genuine, held_back: false }
 }
 
 fn seen(outcome: Outcome, arrivals: Vec<Arrival>, start: Instant) -> Seen {
@@ -35,6 +35,7 @@
         arrivals: vec![arrivals],
         services: vec!["desk".to_owned()],
         disturbed: Vec::new(),
+        troubled: Vec::new(),
         left: Vec::new(),
         reverts: 0,
         crashes: 0,
@@ -62,7 +63,9 @@
     let forged = Arrival { caller: "ledger".to_owned(), ..arrival(start) };
     let once = || vec![arrival(start)];
     let left = Left { proxy: 0, from: start - 3 * SECOND, to: None };
-    let cases: [(Seen, Count); 10] = [
+    let held_back = Outcome::Told { status: 503, genuine: false, held_back: true };
+    let cases: [(Seen, Count); 11] = [
+        (seen(held_back, Vec::new(), start), |it| it.held_back),
         (seen(told(200, true), vec![arrival(start), arrival(start)], start), |it| it.twice),
         (seen(told(503, false), once(), start), |it| it.refused_but_ran),
         (seen(told(200, false), once(), start), |it| it.mixed),
@@ -82,6 +85,25 @@
     }
 }
 
+/// A request that ends its endpoints, which ran once a second; in trouble, or not, the proxy that took it.
+#[test]
+fn runs_of_a_request_that_ends_its_endpoints_count_once_it_had_to_be_known() {
+    let start = Instant::now();
+    let runs = |count: u32| {
+        let ran = (0..count).map(|at| Arrival { line: crashing::LINE.to_owned(), ..arrival(start + at * SECOND) });
+        let request = Record { idempotent: true, line: crashing::LINE.to_owned(), ..record(told(502, false), start) };
+        Seen { records: vec![request], ..seen(told(502, false), ran.collect(), start) }
+    };
+    let trouble = |proxy| Troubled { proxy, from: start, to: Some(start + 60 * SECOND) };
+
+    // The third is at 2 s; later than 5 s and a moment are four of ten, of twelve six.
+    assert_eq!(judge(runs(10)).late_ends, 1);
+    assert_eq!(judge(runs(12)).late_ends, 3);
+    assert_eq!(judge(Seen { troubled: vec![trouble(Some(0))], ..runs(12) }).late_ends, 0);
+    assert_eq!(judge(Seen { troubled: vec![trouble(None)], ..runs(12) }).late_ends, 0);
+    assert_eq!(judge(Seen { troubled: vec![trouble(Some(1))], ..runs(12) }).late_ends, 3);
+}
+
 #[test]
 fn a_killed_proxy_may_lose_its_answers_and_no_other() {
     let start = Instant::now();
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io::{self, ErrorKind, Read as _, Write as _},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -14,6 +14,8 @@
 
 use socket2::SockRef;
 
+use crate::door::Door;
+
 /// How often a relay looks whether its weather has changed.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -52,20 +54,20 @@
 pub struct Relay {
     /// Where it listens.
     pub address: SocketAddr,
+    pub(crate) door: Door,
     shared: Arc<Shared>,
 }
 
 impl Relay {
     /// Starts a relay before `target`.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
+        let door = Door::open()?;
         let shared = Arc::new(Shared::default());
-        let relay = Self { address, shared: Arc::clone(&shared) };
+        let relay = Self { address: door.address, door: door.clone(), shared: Arc::clone(&shared) };
         thread::spawn(move || {
-            for near in listener.incoming().flatten() {
+            door.serve(|near| {
                 // A target that is away looks like a connection that ends at once.
-                let Ok(far) = TcpStream::connect(target) else { continue };
+                let Ok(far) = TcpStream::connect(target) else { return };
                 for (from, to, way) in
                     [(near.try_clone(), far.try_clone(), Way::To), (far.try_clone(), near.try_clone(), Way::From)]
                 {
@@ -73,7 +75,7 @@
                     let pass = Pass::new(from, to, way, &shared);
                     thread::spawn(move || pass.run());
                 }
-            }
+            });
         });
         Ok(relay)
     }
--- a/standins/tests/crashing_request.rs
+++ b/standins/tests/crashing_request.rs
@@ -15,7 +15,7 @@
 
 use rstest::rstest;
 use standins::platform::{
-    desk::{WORK, call, two_routes},
+    desk::{WORK, call, cause, two_routes},
     endpoint::Arrival,
     site::{Site, eventually},
 };
@@ -88,6 +88,8 @@
     let runs = runs(&site, line);
     println!("{} runs, {} of them late", runs.len(), later(&runs));
     assert!(!runs.is_empty(), "it was sent to endpoints at first");
+    let cause = cause(&site, "crash-9");
+    assert!(cause.starts_with("It was held back: ") && cause.contains("endpoint(s) ended under requests"), "{cause}");
     assert!(later(&runs) <= MORE, "{} of {} runs came after it had to be known", later(&runs), runs.len());
 }
 
--- a/standins/tests/proxy_soak.rs
+++ b/standins/tests/proxy_soak.rs
@@ -8,11 +8,12 @@
 /// Seeds that failed stay here, each with a line on its cause. None has failed for a fault of the proxies yet; 23
 /// never ended at 15 s: the stand-in's endpoint waited without end for the word of a paused proxy.
 #[rstest]
-#[case(3)]
-#[case(8)]
-#[case(23)]
-fn promises_hold_between_faulty_neighbours(#[case] seed: u64) {
-    let options = SoakOptions { seed, duration: Duration::from_secs(12), proxies: 6, verbose: false };
+#[case(3, false)]
+#[case(8, false)]
+#[case(23, false)]
+#[case(31, true)]
+fn promises_hold_between_faulty_neighbours(#[case] seed: u64, #[case] crashing: bool) {
+    let options = SoakOptions { seed, duration: Duration::from_secs(12), proxies: 6, crashing, verbose: false };
 
     let verdict = soak::run(&options).expect("the fleet starts");
 
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -12,7 +12,10 @@
 use jayreach::{
     decide::fingerprint::Fingerprint,
     explain::{Line, Subject, explain},
-    proxy::events::{Answered, Event, Events, Failure},
+    proxy::{
+        events::{Answered, Event, Events, Failure},
+        message::Unknown,
+    },
 };
 use rstest::rstest;
 
@@ -149,6 +152,62 @@
     assert!(history.cause.contains("because a call that it made failed: r.c1"), "{}", history.cause);
 }
 
+fn ended_under(request: &'static str, endpoint: &'static str, evidence: u32) -> Event<'static> {
+    let (fingerprint, ran_ms, running) = (Fingerprint::default(), 30, 2);
+    Event::EndedUnder { endpoint, request, fingerprint, ran_ms, running, evidence }
+}
+
+fn held_back(request: &'static str) -> Event<'static> {
+    let Event::Answered(it) = answered(request, 503) else { unreachable!("it is one") };
+    Event::Answered(Answered { outcome: "quarantined", quarantined: Some(Fingerprint::default()), ..it })
+}
+
+#[test]
+fn a_request_that_is_held_back_is_explained_by_the_ends_under_the_same() {
+    let held = Event::Quarantine { fingerprint: Fingerprint::default(), held: true, evidence: 3, source: "ended" };
+    let all = written(&[ended_under("r1", "i-1", 1), ended_under("r2", "i-2", 3), held, held_back("r3")]);
+
+    let history = explain(&all, &Subject::Request("r3".into()));
+
+    assert_eq!(history.lines.len(), 4, "those of other requests are part of its story");
+    assert!(history.cause.contains("2 endpoint(s) ended"), "{}", history.cause);
+    assert!(history.cause.contains("i-1 (r1), i-2 (r2)"), "{}", history.cause);
+    assert!(history.cause.contains("has not run"), "{}", history.cause);
+}
+
+#[test]
+fn an_end_under_a_request_is_told_as_its_cause() {
+    let failed = Event::Failed {
+        request: "r1",
+        fingerprint: Fingerprint::default(),
+        guard: "vm-2",
+        attempt: 1,
+        why: Failure::Unknown(Unknown::Ended),
+        took_ms: 31,
+    };
+    let Event::Answered(it) = answered("r1", 502) else { unreachable!("it is one") };
+    let unknown = Event::Answered(Answered { outcome: "unknown", ..it });
+    let all = written(&[ended_under("r1", "i-1", 1), failed, unknown]);
+
+    let history = explain(&all, &Subject::Request("r1".into()));
+
+    assert!(history.cause.contains("ended with it after 31 ms"), "{}", history.cause);
+}
+
+#[test]
+fn all_that_is_known_of_a_fingerprint_is_told() {
+    let held = |held, source| Event::Quarantine { fingerprint: Fingerprint::default(), held, evidence: 3, source };
+    let fingerprint = Fingerprint::default().to_string();
+    let all = written(&[ended_under("r1", "i-1", 1), held(true, "ended"), held_back("r3"), held(false, "answered")]);
+
+    let history = explain(&all, &Subject::Fingerprint(fingerprint.into()));
+
+    assert_eq!(history.lines.len(), 4);
+    assert!(history.cause.contains("1 endpoint(s) ended"), "{}", history.cause);
+    assert!(history.cause.contains("1 request(s) were held back"), "{}", history.cause);
+    assert!(history.cause.contains("no longer"), "{}", history.cause);
+}
+
 #[test]
 fn what_no_line_tells_is_said_so() {
     let history = explain(&written(&[answered("other", 500)]), &Subject::Request("r".into()));
