Signal handlers before all else: a reload in a proxy's first moments no longer ends it

Cause: the handlers came after settings, listeners and tasks; until then the system's default ends the process. Ruled out: a handler that fails (status 129 is the signal itself).

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -58,6 +58,7 @@
         peer::Link,
         routes::{Config, Version},
         settings::Settings,
+        stop::Signals,
     },
     rows::Stamp,
 };
@@ -111,22 +112,25 @@
 ///
 /// Settings with findings, and sockets that can't be opened.
 pub fn run(path: &Path) -> Result<(), Error> {
-    let settings = Settings::load(path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|it| Error::io("starting the runtime", it))?;
-    LocalSet::new().block_on(&runtime, run_here(settings, path))
+    LocalSet::new().block_on(&runtime, run_here(path))
 }
 
-async fn run_here(settings: Settings, path: &Path) -> Result<(), Error> {
+async fn run_here(path: &Path) -> Result<(), Error> {
+    // Before all else: a signal that finds no handler ends the process.
+    let signals = Signals::take().map_err(|it| Error::io("taking signals", it))?;
+    let settings = Settings::load(path)?;
     let events =
         Events::start(settings.name.clone(), io::stdout()).map_err(|it| Error::io("starting the event writer", it))?;
     let proxy = Rc::new(Proxy::new(settings, path, Rc::new(events))?);
     proxy.events.emit(&Event::Started { version: env!("CARGO_PKG_VERSION") });
     proxy.listen()?;
     proxy.start_tasks();
-    stop::wait(&proxy).await.map_err(|it| Error::io("waiting for signals", it))
+    stop::wait(&proxy, signals).await;
+    Ok(())
 }
 
 impl Proxy {
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{interval, sleep},
 };
 
@@ -17,10 +17,22 @@
 /// How often a stopping proxy looks whether it is done.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// The signals that are handled; those that come before they are waited for are kept.
+pub(super) struct Signals {
+    term: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    /// Handles them from now on.
+    pub(super) fn take() -> io::Result<Self> {
+        Ok(Self { term: signal(SignalKind::terminate())?, hup: signal(SignalKind::hangup())? })
+    }
+}
+
 /// Serves until SIGTERM, then finishes what is under way.
-pub(super) async fn wait(proxy: &Rc<Proxy>) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut hup = signal(SignalKind::hangup())?;
+pub(super) async fn wait(proxy: &Rc<Proxy>, signals: Signals) {
+    let Signals { mut term, mut hup } = signals;
     let mut look = interval(SETTINGS_EVERY);
     loop {
         tokio::select! {
@@ -33,7 +45,7 @@
     tokio::pin!(finish);
     loop {
         tokio::select! {
-            () = &mut finish => return Ok(()),
+            () = &mut finish => return,
             // The platform grants the whole grace anew; to end by the first would cut what it still allows.
             _ = term.recv() => proxy.stop_again(),
         }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -314,7 +314,7 @@
 }
 
 /// A program of this build: beside the running one, or one folder up from a test.
-pub(crate) fn program(name: &str) -> io::Result<PathBuf> {
+pub fn program(name: &str) -> io::Result<PathBuf> {
     let own = env::current_exe()?;
     let places = own.ancestors().skip(1).take(2).map(|it| it.join(name));
     let mut found = places.into_iter().filter(|it| it.is_file());
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -26,6 +26,8 @@
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(150);
 /// How long a deployment may take to do what is waited for.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// A process that has started handles signals within this.
+const STARTED_WITHIN: Duration = Duration::from_millis(20);
 /// The host of all routes.
 pub const HOST: &str = "desk.example";
 
@@ -224,6 +226,24 @@
         _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    /// Tells it that its settings changed, once it has come so far that it handles the signal: in its first millisecond, before
+    /// any code of its own runs, every program ends by it.
+    pub fn reload(&self) {
+        let deadline = Instant::now() + STARTED_WITHIN;
+        while !self.handles_reload() && Instant::now() < deadline {
+            thread::sleep(Duration::from_micros(200));
+        }
+        self.signal(Signal::HUP);
+    }
+
+    /// Whether the system knows a handler of SIGHUP of the process.
+    fn handles_reload(&self) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let caught = status.lines().find_map(|it| it.strip_prefix("SigCgt:"));
+        // The bits are numbered from 1.
+        caught.is_some_and(|it| u64::from_str_radix(it.trim(), 16).is_ok_and(|it| it & 1 != 0))
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         _ = self.child.kill();
--- a/standins/src/platform/soak/faults.rs
+++ b/standins/src/platform/soak/faults.rs
@@ -257,7 +257,7 @@
                 self.down[at] = true;
                 (0..times).for_each(|_| proxy.signal(Signal::TERM));
             }
-            Fault::Reload => proxy.signal(Signal::HUP),
+            Fault::Reload => proxy.reload(),
             Fault::Endpoint(mode) => proxy.endpoint.set_mode(mode),
             Fault::Leave => {
                 if proxy.endpoint.announce(proxy.announcements, true).is_ok_and(|it| it == 200) {
