Proxies that watch the store for the rest ask others to when they lose it

Callers' requests were handled by an old version for up to 11 s after a change if all watching proxies, and only they, were cut from the store: the others noticed by the age of the last confirmation alone. Ruled out: shorter ages (word of a confirmation takes up to eight rounds to come round, so a fleet of hundreds would watch as one). A watcher that gets no answer asks its peers, one after the other, until one watches that sees the store; that one does for 10 s. A substitute asks nobody, so a store that fails everybody has at most twice the watchers. Why it holds: watches end at different times, so the first of six finds out within about a second. Left: watchers that are cut from the other proxies as well.

--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -5,7 +5,7 @@
 //! last had the store's answer goes round with that. The longer nobody had one, the more proxies watch: all watchers may
 //! be killed, or cut off from a store that serves the others.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::util::mix;
 
@@ -16,8 +16,7 @@
 /// 700 cases.
 const WATCHERS_IN_ALL: usize = 6;
 /// The shortest and the longest watch. A connection may go silent for good without a word, and a change must be in force
-/// two seconds after it was accepted: with watches of 5 s it was after 5.9 s, with these after 1.4 s at most (four
-/// proxies behind relays, twelve changes a second after the silence).
+/// two seconds after it was accepted, with what its way through the fleet takes.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1_200);
 const LONGEST_WAIT: Duration = Duration::from_millis(2_000);
 /// How much later than asked a watch may end before its connection is held to be silent: the store answers in 4 ms, and
@@ -29,6 +28,11 @@
 /// Beyond that one more in each data centre watches after each such time: all at once would be a surge of calls when
 /// the store comes back.
 const STEP: Duration = Duration::from_millis(100);
+/// How long a proxy watches in the place of one that lost its way to the store. The word of its answers has come round by then,
+/// and where the store fails everybody no more watch for longer.
+const SUBSTITUTES_FOR: Duration = Duration::from_secs(10);
+/// A watcher without the store asks for a substitute again after this: before the last one ends.
+const ASKS_AGAIN: Duration = Duration::from_secs(5);
 /// How long the others are waited for by one that has no configuration yet, and no word of one.
 const FIRST: Duration = Duration::from_secs(3);
 
@@ -50,6 +54,43 @@
     }
 }
 
+/// What a watcher without the store, and its substitute, keep of that.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Substitution {
+    /// When this proxy asked for a substitute last.
+    asked: Option<Instant>,
+    /// It watches in the place of another until then.
+    until: Option<Instant>,
+}
+
+impl Substitution {
+    /// Whether to ask another proxy to watch, now that the store gives this one no answer. One that is a substitute
+    /// itself doesn't: where the store fails everybody, the whole fleet would come to ask it.
+    pub fn asks(&mut self, now: Instant) -> bool {
+        let asked_lately = self.asked.is_some_and(|it| now.saturating_duration_since(it) < ASKS_AGAIN);
+        if self.substitutes(now) || asked_lately {
+            return false;
+        }
+        self.asked = Some(now);
+        true
+    }
+
+    /// The store answers: the next loss of it is news.
+    pub fn answered(&mut self) {
+        self.asked = None;
+    }
+
+    /// This proxy is asked to be the substitute of another.
+    pub fn begin(&mut self, now: Instant) {
+        self.until = Some(now + SUBSTITUTES_FOR);
+    }
+
+    /// Whether this proxy watches in the place of another.
+    pub fn substitutes(&self, now: Instant) -> bool {
+        self.until.is_some_and(|it| now < it)
+    }
+}
+
 /// The place of `me` among the members of a data centre, itself not among them, by a hash of their keys.
 pub fn rank(me: u64, others: impl Iterator<Item = u64>) -> usize {
     let score = |key: u64| (mix(&[key]), key);
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -38,6 +38,7 @@
     pub(crate) const COMPARE: &str = "/compare";
     pub(crate) const DELIVER: &str = "/deliver";
     pub(crate) const CASES: &str = "/cases";
+    pub(crate) const WATCH: &str = "/watch";
 }
 
 /// What an attempt is to the allowance for repeats.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -46,6 +46,7 @@
     decide::{
         allowance::Terms,
         stopping::{Stage, Stop},
+        watchers::Substitution,
     },
     error::Error,
     platform::{ConfigFinding, ParsedConfig, Store},
@@ -86,6 +87,9 @@
     confirmed: Cell<Option<Instant>>,
     /// This proxy watches the store for the others.
     watching: Cell<bool>,
+    /// The store gave the last watch, or the read before it, no answer.
+    blind: Cell<bool>,
+    substitution: Cell<Substitution>,
     directory: RefCell<Directory>,
     /// Some row changed, or a proxy joined or left.
     members_changed: Notify,
@@ -150,6 +154,8 @@
             fetching: Cell::new(false),
             confirmed: Cell::new(None),
             watching: Cell::new(false),
+            blind: Cell::new(false),
+            substitution: Cell::default(),
             directory: RefCell::new(Directory::new(first_row(&settings), now)),
             settings: RefCell::new(Rc::new(settings)),
             members_changed: Notify::new(),
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -42,6 +42,7 @@
         path::CONFIG => reply(&body, async |it| proxy.newer_config(it)).await,
         path::SUMMARY => reply(&body, async |it| proxy.summarize(it)).await,
         path::COMPARE => reply(&body, async |it| proxy.compare(&it)).await,
+        path::WATCH => reply(&body, async |()| proxy.substitute()).await,
         path::CASES => reply(&body, async |it| proxy.exchange_cases(&it)).await,
         path::DELIVER => reply(&body, async |it| proxy.deliver(it)).await,
         _ => answer(StatusCode::NOT_FOUND, Bytes::new()),
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -5,13 +5,13 @@
     time::{Duration, Instant},
 };
 
-use rand::RngExt as _;
-use tokio::time::sleep;
+use rand::{RngExt as _, seq::SliceRandom as _};
+use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
     decide::watchers::{self, Watch},
     platform::{ConfigObject, Consistency, WatchEnd},
-    proxy::{Proxy, backoff::Backoff, clock, events::Event},
+    proxy::{Proxy, backoff::Backoff, clock, events::Event, message::path, peer::Link},
 };
 
 /// How often a proxy that doesn't watch looks whether it should.
@@ -22,6 +22,9 @@
 /// watch has its price, and a change must be in force within two seconds.
 const SETTLE: Duration = Duration::from_millis(400);
 
+/// How long a peer may take to say whether it watches.
+const ASK_LIMIT: Duration = Duration::from_millis(300);
+
 impl Proxy {
     /// Follows the configuration for ever: at the store when it is this proxy's turn, else as others tell it.
     pub(super) async fn follow_config(self: Rc<Self>) {
@@ -53,8 +56,11 @@
         }
     }
 
-    /// Whether it is this proxy's turn to watch the store.
+    /// Whether it is this proxy's turn to watch the store, or it does so in another's place.
     fn watches(&self, start: Instant) -> bool {
+        if self.substitution.get().substitutes(clock::now()) {
+            return true;
+        }
         let mut directory = self.directory.borrow_mut();
         let data_centres = directory.data_centres();
         let data_centre = &directory.own().data_centre;
@@ -83,18 +89,20 @@
     }
 
     /// Follows the configuration at the store while it is this proxy's turn.
-    async fn watch_store(&self, start: Instant) {
+    async fn watch_store(self: &Rc<Self>, start: Instant) {
         let mut backoff = Backoff::new(self);
         while self.watches(start) {
             let asked = clock::now();
             let object = match self.store.config(Consistency::Linearizable).await {
                 Ok(it) => it,
                 Err(error) => {
+                    self.see_nothing();
                     backoff.failed(&error).await;
                     continue;
                 }
             };
             backoff.answered();
+            self.see_again();
             let mut revision = self.take_config(object);
             self.confirm(clock::now().saturating_duration_since(asked));
             // What others read at their start may have been some seconds old.
@@ -106,6 +114,7 @@
                 match self.store.watch_config(revision, watch).await {
                     Ok(WatchEnd::Went(object)) => {
                         backoff.answered();
+                        self.see_again();
                         let changed = object.config.is_some();
                         revision = self.take_config(object);
                         self.confirm(Duration::ZERO);
@@ -114,12 +123,57 @@
                         }
                     }
                     Ok(WatchEnd::HistoryGone) => break,
-                    Err(error) => backoff.failed(&error).await,
+                    Err(error) => {
+                        self.see_nothing();
+                        backoff.failed(&error).await;
+                    }
                 }
             }
         }
     }
 
+    /// The store answers this watcher.
+    fn see_again(&self) {
+        self.blind.set(false);
+        let mut substitution = self.substitution.get();
+        substitution.answered();
+        self.substitution.set(substitution);
+    }
+
+    /// The store gives this watcher no answer. All watchers, and only they, may have lost their way to it: another is asked
+    /// to watch at once, since the others would notice only when the last confirmation has grown old.
+    fn see_nothing(self: &Rc<Self>) {
+        self.blind.set(true);
+        let mut substitution = self.substitution.get();
+        if substitution.asks(clock::now()) {
+            spawn_local(Rc::clone(self).ask_for_substitute());
+        }
+        self.substitution.set(substitution);
+    }
+
+    /// Asks one peer after the other, until one watches that sees the store, as far as it knows.
+    async fn ask_for_substitute(self: Rc<Self>) {
+        let mut links: Vec<Rc<Link>> =
+            self.links.borrow().iter().map(|it| Rc::clone(&it.1)).filter(|it| it.is_connected()).collect();
+        links.shuffle(&mut rand::rng());
+        for link in links {
+            if link.call_within::<_, bool>(ASK_LIMIT, path::WATCH, &()).await == Some(true) {
+                return;
+            }
+        }
+    }
+
+    /// Watches in the place of a peer that lost its way to the store; false if this proxy has lost it, too.
+    pub(super) fn substitute(&self) -> bool {
+        if self.watching.get() {
+            return !self.blind.get();
+        }
+        let mut substitution = self.substitution.get();
+        substitution.begin(clock::now());
+        self.substitution.set(substitution);
+        true
+    }
+
     fn take_config(&self, object: ConfigObject) -> u64 {
         match object.config {
             Some(Ok(it)) => self.put_in_force(it, "store"),
--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -20,7 +20,7 @@
         desk::{WORK, two_routes},
         site::{Proxy, Relays, Site, eventually},
     },
-    relay::Relay,
+    relay::{Relay, Weather},
 };
 
 /// In how many seconds a change must be in force once the store has accepted it.
@@ -29,17 +29,23 @@
 const IN_FORCE_AT_DAEMONS: Duration = Duration::from_secs(6);
 /// After a change the watches are taken up again within this time.
 const WATCHED_AGAIN: Duration = Duration::from_millis(700);
+/// By then only those watch whose turn it is.
+const SETTLED: Duration = Duration::from_secs(5);
 /// The change comes this long after the silence: the earliest time for which the bound of a change holds is three
 /// seconds after it.
 const CHANGED_AFTER: Duration = Duration::from_millis(1_000);
 
 fn site() -> Site {
+    site_of(4)
+}
+
+fn site_of(proxies: usize) -> Site {
     let mut site = Site::start_with_relays().expect("a store");
     site.store.put_config(two_routes(1));
-    for at in 0..4 {
+    for at in 0..proxies {
         site.add("desk", if at % 2 == 0 { "dc-1" } else { "dc-2" }, 2, WORK).expect("a proxy");
     }
-    assert!(site.wait_for(4), "all proxies know all endpoints");
+    assert!(site.wait_for(proxies), "all proxies know all endpoints");
     site
 }
 
@@ -91,6 +97,29 @@
     assert!(late.is_empty(), "in force only {late:.2?} s after it was accepted");
 }
 
+/// Those that watch the store for the rest lose their way to it, and only they: the others' path is as good as ever.
+#[test]
+fn a_change_is_in_force_in_time_though_all_who_watch_are_cut_from_the_store() {
+    let site = site_of(10);
+    let watches = |it: &&Proxy| it.status()["watching"] == true;
+    thread::sleep(SETTLED);
+    assert!(eventually(|| site.proxies.iter().filter(watches).count() == 6), "three watch in each data centre");
+    let (cut, others): (Vec<&Proxy>, Vec<&Proxy>) = site.proxies.iter().partition(watches);
+
+    for it in cut.iter().filter_map(|it| it.relays.as_ref()) {
+        it.store.set(Weather::CutTo);
+        it.store.forget_open();
+    }
+    thread::sleep(CHANGED_AFTER);
+    let accepted = now();
+    site.store.put_config(two_routes(2));
+    assert!(eventually(|| others.iter().all(|it| in_force_at(it, 2).is_some())));
+
+    let after: Vec<f64> = others.iter().map(|it| in_force_at(it, 2).expect("just looked") - accepted).collect();
+    println!("in force after {after:.2?} s");
+    assert!(after.iter().all(|it| *it <= IN_FORCE_S), "in force only {after:.2?} s after it was accepted");
+}
+
 /// Daemons watch in the same way, at their own store.
 #[test]
 fn a_change_reaches_daemons_in_time_though_open_connections_went_silent() {
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -1,11 +1,11 @@
 //! Whom proxies link to, and which of them watch the store, over fleets of a hundred and of hundreds.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jayreach::{
     decide::{
         subset::{Member, choose},
-        watchers::{Watch, rank, watches, watches_first},
+        watchers::{Substitution, Watch, rank, watches, watches_first},
     },
     util::mix,
 };
@@ -202,3 +202,22 @@
     assert!(Watch::by_luck(0.0).wait < Watch::by_luck(0.5).wait);
     assert!(Watch::by_luck(0.5).wait < Watch::by_luck(1.0).wait);
 }
+
+/// A watcher without the store asks again while that lasts; a substitute asks nobody, or the whole fleet would watch a store
+/// that fails everybody.
+#[test]
+fn a_watcher_without_the_store_asks_for_a_substitute_and_a_substitute_does_not() {
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut watcher = Substitution::default();
+    let mut substitute = Substitution::default();
+
+    let asked: Vec<bool> = (0..7).map(|it| watcher.asks(start + it * second)).collect();
+    substitute.begin(start);
+
+    assert_eq!(asked, [true, false, false, false, false, true, false]);
+    assert!(!substitute.asks(start + second) && substitute.substitutes(start + second));
+    assert!(!substitute.substitutes(start + 10 * second), "no longer than needed");
+    watcher.answered();
+    assert!(watcher.asks(start + 7 * second), "the next loss is news");
+}
