Links are told when they are let go, in place of looking twice a second

Every open link looked twice a second whether it was still one of the proxy's links; now whoever lets it go says so. A test shows that a configuration from a proxy of an earlier release is understood.

--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    mem,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -124,7 +125,13 @@
                 link.wanted.set(false);
             }
         }
-        self.links.borrow_mut().retain(|it| !it.1.is_needless());
+        self.links.borrow_mut().retain(|(_, link)| {
+            let needless = link.is_needless();
+            if needless {
+                link.release();
+            }
+            !needless
+        });
     }
 
     /// The rows of those to link to, sorted by name.
@@ -161,7 +168,7 @@
         let near = row.data_centre == self.settings.borrow().data_centre;
         let link = Rc::new(Link::new(row, near));
         match found {
-            Ok(at) => links[at].1 = Rc::clone(&link),
+            Ok(at) => mem::replace(&mut links[at].1, Rc::clone(&link)).release(),
             Err(at) => links.insert(at, (row.daemon.clone(), Rc::clone(&link))),
         }
         drop(links);
@@ -182,7 +189,7 @@
                     select! {
                         () = self.keep_greeting(&link) => (),
                         () = connected.ended() => (),
-                        () = self.needless(&name, &link) => (),
+                        () = link.released() => (),
                     }
                     pause = FIRST_PAUSE;
                 }
@@ -205,13 +212,6 @@
         self.link(name).is_some_and(|it| Rc::ptr_eq(&it, link))
     }
 
-    /// Waits until the link is no longer one of this proxy's.
-    async fn needless(&self, name: &str, link: &Rc<Link>) {
-        while self.is_current(name, link) {
-            sleep(CHOOSE_EVERY).await;
-        }
-    }
-
     /// Holds a proxy to be down that can't be reached for long, and tells so; if it lives, it hears of that and refutes it.
     fn hold_down(&self, name: &str) {
         let (up, all) = self.links_up();
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -203,6 +203,16 @@
     assert_eq!(parsed.config.routes().len(), 2, "the routes are in force whatever the services say");
 }
 
+#[test]
+fn a_configuration_from_a_proxy_of_an_earlier_release_has_the_usual_health_paths() {
+    let config = config();
+    let without_health_paths = (config.version, config.routes(), config.limits);
+
+    let bytes = rmp_serde::to_vec(&without_health_paths).expect("messages can be coded");
+
+    assert_eq!(rmp_serde::from_slice::<Config>(&bytes).expect("it is understood"), config);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
