--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -12,6 +12,12 @@
 
 use crate::platform::http::{self, Message};
 
+/// The kind of the operator's configuration.
+const CONFIG: &str = "config";
+
+/// The connection ends without an answer.
+const CUT_OFF: (u16, Value) = (0, Value::Null);
+
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreMode {
@@ -26,6 +32,7 @@
     LosesAnswers,
 }
 
+#[derive(Clone)]
 struct Stored {
     kind: String,
     name: String,
@@ -48,6 +55,19 @@
     oldest: u64,
     mode: StoreMode,
     calls: u64,
+    /// Goes up by one each time the store comes back from a copy.
+    era: u64,
+    /// The last copy.
+    copy: (Vec<Stored>, u64),
+}
+
+impl State {
+    fn replace(&mut self, kind: &str, name: &str, spec: Value) {
+        self.revision += 1;
+        let revision = self.revision;
+        self.objects.retain(|it| it.kind != kind || it.name != name);
+        self.objects.push(Stored { kind: kind.into(), name: name.into(), revision, spec });
+    }
 }
 
 /// The store; ends with the process.
@@ -102,18 +122,37 @@
         self.shared.1.notify_all();
     }
 
+    /// Makes a copy, from which it may come back.
+    pub fn copy(&self) {
+        let mut state = self.lock();
+        state.copy = (state.objects.clone(), state.revision);
+    }
+
+    /// Comes back from the copy: what the system wrote since is gone, and revisions are given out again. What the operator wrote
+    /// is written again, `spec` in place of its last configuration if there is one; then come `others` changes of other objects.
+    pub fn wind_back(&self, spec: Option<Value>, others: u32) {
+        let mut state = self.lock();
+        let last = state.objects.iter().find(|it| it.kind == CONFIG).map(|it| it.spec.clone());
+        (state.objects, state.revision) = state.copy.clone();
+        state.era += 1;
+        let revision = state.revision;
+        if let Some(spec) = spec.or(last) {
+            state.replace(CONFIG, "main", spec);
+        }
+        for _ in 0..others {
+            state.replace("another-s", "x", json!({"since": revision}));
+        }
+        self.shared.1.notify_all();
+    }
+
     /// The operator replaces the configuration.
     pub fn put_config(&self, spec: Value) {
-        self.put("config", "main", spec);
+        self.put(CONFIG, "main", spec);
     }
 
     /// Another writer leaves an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        let mut state = self.lock();
-        state.revision += 1;
-        let revision = state.revision;
-        state.objects.retain(|it| it.kind != kind || it.name != name);
-        state.objects.push(Stored { kind: kind.into(), name: name.into(), revision, spec });
+        self.lock().replace(kind, name, spec);
         self.shared.1.notify_all();
     }
 
@@ -131,11 +170,15 @@
                 StoreMode::Busy => (503, Value::Null),
                 StoreMode::Good | StoreMode::LosesAnswers => self.answer(&req),
             };
+            if answer == CUT_OFF {
+                return;
+            }
             if mode == StoreMode::LosesAnswers && !req.start.starts_with("GET") {
                 return;
             }
             let body = answer.1.to_string();
-            let text = http::text(&format!("HTTP/1.1 {} x", answer.0), &[], body.as_bytes());
+            let era = self.lock().era.to_string();
+            let text = http::text(&format!("HTTP/1.1 {} x", answer.0), &[("Store-Era", &era)], body.as_bytes());
             if writer.write_all(&text).is_err() {
                 return;
             }
@@ -198,8 +241,12 @@
         };
         let (from, deadline) = (number("watch"), Instant::now() + Duration::from_millis(number("wait_ms")));
         let mut state = self.lock();
+        let era = state.era;
         loop {
-            if from < state.oldest {
+            if state.era != era {
+                return CUT_OFF;
+            }
+            if from < state.oldest || from > state.revision {
                 return (410, Value::Null);
             }
             let news = state.objects.iter().filter(|it| it.kind == kind && it.revision > from);
