The store's era stands beside each revision: it may come back from a copy

Callers' requests would have been handled by an old version for good, if the store came back from a copy and a change was made among revisions that were given out again: watches went on from a revision beyond it. And where proxies are, and what is held back, would have been gone from the store. Cause: a revision was taken to mean the same for ever. Ruled out: the 410 that such a watch gets; it comes only until the store is beyond the revision. Now a position is a revision with its era (Store-Era, in all answers); a watch answered in another era begins anew with a read, and so does one that got no answer. The newest era goes round with the exchanges, and whoever hears that it went up writes its object again within a second; those that watch write down what is held back.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -18,7 +18,7 @@
 };
 pub use health::health;
 pub use objects::{Listing, PresenceObject, QuarantineObject, SkippedObject, Trial};
-pub use store::{ConfigObject, Consistency, Store, StoreFailure, WatchEnd};
+pub use store::{ConfigObject, Consistency, Era, Position, Store, StoreFailure, WatchEnd};
 
 /// The path of the platform's readiness question.
 pub const READINESS_PATH: &str = "/readiness";
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,12 @@
 //! The calls of the platform's metadata store.
 
-use std::{borrow::Cow, net::SocketAddr, time::Duration};
+use std::{borrow::Cow, cell::Cell, net::SocketAddr, time::Duration};
 
-use hyper::{Method, StatusCode, body::Bytes};
+use hyper::{Method, StatusCode, body::Bytes, header::HeaderName};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use thiserror::Error;
+use tokio::sync::Notify;
 
 use crate::{
     decide::watchers::Watch,
@@ -20,6 +21,12 @@
 /// in trouble.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Which history the store's revisions belong to; goes up by one each time it comes back from a copy.
+pub type Era = u64;
+
+/// The era, in all answers.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// A revision of the store; goes up with each change of any object.
 pub(super) type Revision = u64;
 
@@ -43,7 +50,16 @@
     /// The configuration, or why it can't be used; `None` before the operator's first.
     pub config: Option<Result<ParsedConfig, serde_json::Error>>,
     /// Where a watch goes on.
-    pub revision: Revision,
+    pub position: Position,
+}
+
+/// A revision, which means something in its era only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// The revision.
+    pub revision: u64,
+    /// Its era.
+    pub era: Era,
 }
 
 /// How a watch ended.
@@ -74,9 +90,13 @@
 }
 
 /// The store, at its address.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct Store {
     address: SocketAddr,
+    /// The newest that anyone heard of; `None` before the first answer.
+    era: Cell<Option<Era>>,
+    /// The store came back from a copy.
+    came_back: Notify,
 }
 
 /// A part of a listing. Each item is decoded by itself: other writers' objects must not hide ours.
@@ -123,7 +143,31 @@
 impl Store {
     /// The store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address }
+        Self { address, era: Cell::new(None), came_back: Notify::new() }
+    }
+
+    /// The newest era that anyone heard of.
+    pub fn era(&self) -> Option<Era> {
+        self.era.get()
+    }
+
+    /// Takes in an era that this process or another heard of.
+    pub fn note_era(&self, era: Era) {
+        let before = self.era.get();
+        self.era.set(before.max(Some(era)));
+        if before.is_some_and(|it| it < era) {
+            self.came_back.notify_one();
+        }
+    }
+
+    /// Waits until the store has come back from a copy: what was written since that may be gone.
+    pub async fn came_back(&self) {
+        self.came_back.notified().await;
+    }
+
+    /// A position at the revision of an answer that has just come.
+    fn position(&self, revision: Revision) -> Position {
+        Position { revision, era: self.era.get().unwrap_or_default() }
     }
 
     /// Reads the configuration. Listing its kind tells the store's revision, from which a watch can
@@ -142,17 +186,21 @@
         let page: Page<'_> = serde_json::from_str(&text)?;
         let mut objects = page.items.iter().filter_map(|it| serde_json::from_str::<Object<'_>>(it.get()).ok());
         let ours = objects.find(|it| &*it.metadata.name == CONFIG_NAME);
-        Ok(ConfigObject { config: ours.map(|it| parse_config(it.spec.get())), revision: page.at_rev })
+        Ok(ConfigObject { config: ours.map(|it| parse_config(it.spec.get())), position: self.position(page.at_rev) })
     }
 
-    /// Waits for the configuration to change after `revision`.
+    /// Waits for the configuration to change after `from`. If the store came back from a copy meanwhile, its history is
+    /// another one: revisions are given out again, and some changes may stand before `from`.
     ///
     /// # Errors
     ///
     /// See [`StoreFailure`].
-    pub async fn watch_config(&self, revision: Revision, watch: Watch) -> Result<WatchEnd, StoreFailure> {
-        let path = format!("/objects/{CONFIG_KIND}?watch={revision}&wait_ms={}", watch.wait.as_millis());
+    pub async fn watch_config(&self, from: Position, watch: Watch) -> Result<WatchEnd, StoreFailure> {
+        let path = format!("/objects/{CONFIG_KIND}?watch={}&wait_ms={}", from.revision, watch.wait.as_millis());
         let (status, body) = self.call(Method::GET, &path, Bytes::new(), watch.limit).await?;
+        if from.era != self.era.get().unwrap_or_default() {
+            return Ok(WatchEnd::HistoryGone);
+        }
         match status {
             StatusCode::OK => (),
             StatusCode::GONE => return Ok(WatchEnd::HistoryGone),
@@ -164,7 +212,7 @@
         let ours = |it: &Event<'_>| !it.is_deleted && &*it.object.metadata.name == CONFIG_NAME;
         let newest = decoded.rev().find(ours);
         let config = newest.map(|it| parse_config(it.object.spec.get()));
-        Ok(WatchEnd::Went(ConfigObject { config, revision: events.at_rev }))
+        Ok(WatchEnd::Went(ConfigObject { config, position: self.position(events.at_rev) }))
     }
 
     pub(super) async fn call(
@@ -176,6 +224,10 @@
     ) -> Result<(StatusCode, Bytes), StoreFailure> {
         metrics::counter!("jayreach_store_calls_total").increment(1);
         let resp = proxy::call(self.address, method, path, body, limit).await?;
+        let era = resp.headers().get(ERA).and_then(|it| it.to_str().ok()).and_then(|it| it.parse().ok());
+        if let Some(it) = era {
+            self.note_era(it);
+        }
         Ok((resp.status(), resp.into_body()))
     }
 }
--- a/src/proxy/control.rs
+++ b/src/proxy/control.rs
@@ -72,6 +72,7 @@
         spawn_local(Rc::clone(self).follow_config());
         spawn_local(Rc::clone(self).read_first_quarantine());
         spawn_local(Rc::clone(self).join());
+        spawn_local(Rc::clone(self).keep_objects());
         spawn_local(Rc::clone(self).tell_changes());
         spawn_local(Rc::clone(self).keep_links());
         spawn_local(Rc::clone(self).keep_exchanging());
--- a/src/proxy/join.rs
+++ b/src/proxy/join.rs
@@ -13,6 +13,8 @@
 /// How long after its own object was written a proxy lists the others again; at that time a fleet that starts for the
 /// first time is complete.
 const LIST_AGAIN: Duration = Duration::from_millis(1_000);
+/// Within this time after the store came back from a copy proxies write their objects again, not all at once.
+const WRITE_AGAIN: Duration = Duration::from_millis(1_000);
 /// How many such listings may be stale ones, which cost a tenth: one that lags by seconds has caught up by then.
 const STALE_LOOKS: u32 = 4;
 
@@ -40,6 +42,22 @@
         self.list_after(&presence).await;
     }
 
+    /// Writes what this proxy had written again, each time the store has come back from a copy.
+    pub(super) async fn keep_objects(self: Rc<Self>) {
+        loop {
+            self.store.came_back().await;
+            // A whole fleet hears of it within a few seconds.
+            sleep(WRITE_AGAIN.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+            let presence = self.presence();
+            let mut backoff = Backoff::new(&self);
+            while let Err(error) = self.store.put_presence(&presence).await {
+                backoff.failed(&error).await;
+            }
+            backoff.answered();
+            self.write_all_down();
+        }
+    }
+
     /// Lists the others once more, as they are after this proxy's own object was written.
     async fn list_after(&self, presence: &PresenceObject) {
         let mut backoff = Backoff::new(self);
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -16,6 +16,7 @@
         quarantine::{Case, ToldCase},
         suspicion::Standing,
     },
+    platform::Era,
     proxy::{
         directory::{Brief, Current, Incarnation, ProxyName, Row, Served},
         routes::{RouteName, ServiceName, Version},
@@ -313,6 +314,9 @@
     /// Differs where what is known against any request differs.
     #[serde(default)]
     pub cases: u64,
+    /// The newest era of the store that the sender heard of.
+    #[serde(default)]
+    pub era: Option<Era>,
 }
 
 /// What a proxy knows against requests.
--- a/src/proxy/quarantine.rs
+++ b/src/proxy/quarantine.rs
@@ -93,6 +93,16 @@
         Ok(())
     }
 
+    /// Writes down all that is held back, where this proxy watches the store for the rest.
+    pub(super) fn write_all_down(self: &Rc<Self>) {
+        if !self.watching.get() {
+            return;
+        }
+        for it in self.guard.cases().into_iter().filter(|it| it.case.is_held()) {
+            spawn_local(Rc::clone(self).write_down(it.fingerprint));
+        }
+    }
+
     /// Writes down that a request is held back, or takes that back.
     async fn write_down(self: Rc<Self>, fingerprint: Fingerprint) {
         let mut backoff = Backoff::new(&self);
--- a/src/proxy/spread.rs
+++ b/src/proxy/spread.rs
@@ -239,6 +239,7 @@
             version: self.version(),
             confirmed_ago: self.confirmed_ago(),
             cases: self.guard.cases_digest(),
+            era: self.store.era(),
         }
     }
 
@@ -252,6 +253,9 @@
 
     /// Takes in how long ago the store confirmed the version in force, if a peer speaks of that one.
     fn take_confirmation(&self, theirs: Summary) {
+        if let Some(it) = theirs.era {
+            self.store.note_era(it);
+        }
         if theirs.version == self.version()
             && let Some(it) = theirs.confirmed_ago
         {
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     decide::watchers::{self, Watch},
-    platform::{ConfigObject, Consistency, WatchEnd},
+    platform::{ConfigObject, Consistency, Position, WatchEnd},
     proxy::{Proxy, backoff::Backoff, clock, events::Event, message::path, peer::Link},
 };
 
@@ -103,7 +103,7 @@
             };
             backoff.answered();
             self.see_again();
-            let mut revision = self.take_config(object);
+            let mut position = self.take_config(object);
             self.confirm(clock::now().saturating_duration_since(asked));
             // What others read at their start may have been some seconds old.
             if let Err(error) = self.read_quarantine(Consistency::Linearizable).await {
@@ -111,12 +111,12 @@
             }
             while self.watches(start) {
                 let watch = Watch::by_luck(rand::rng().random());
-                match self.store.watch_config(revision, watch).await {
+                match self.store.watch_config(position, watch).await {
                     Ok(WatchEnd::Went(object)) => {
                         backoff.answered();
                         self.see_again();
                         let changed = object.config.is_some();
-                        revision = self.take_config(object);
+                        position = self.take_config(object);
                         self.confirm(Duration::ZERO);
                         if changed {
                             sleep(SETTLE).await;
@@ -126,6 +126,8 @@
                     Err(error) => {
                         self.see_nothing();
                         backoff.failed(&error).await;
+                        // It may come back from a copy, and what was changed meanwhile before this position.
+                        break;
                     }
                 }
             }
@@ -174,7 +176,7 @@
         true
     }
 
-    fn take_config(&self, object: ConfigObject) -> u64 {
+    fn take_config(&self, object: ConfigObject) -> Position {
         match object.config {
             Some(Ok(it)) => self.put_in_force(it, "store"),
             Some(Err(error)) => {
@@ -182,6 +184,6 @@
             }
             None => (),
         }
-        object.revision
+        object.position
     }
 }
--- a/standins/src/platform/soak/mod.rs
+++ b/standins/src/platform/soak/mod.rs
@@ -25,7 +25,10 @@
     faults::{Played, Stage},
     promises::{Seen, judge},
 };
-use crate::platform::site::{Proxy, Site, config, route};
+use crate::platform::{
+    site::{Proxy, Site, config, route},
+    store::Store,
+};
 
 /// How long the endpoints work on a request.
 const WORK: Duration = Duration::from_millis(30);
@@ -33,6 +36,11 @@
 const SLOTS: u32 = 4;
 /// Callers of each proxy.
 const CALLERS: usize = 3;
+/// How old the copies are from which the store comes back, and the pause until the next one is made.
+const COPY_AGE: Duration = Duration::from_millis(1_500);
+const BETWEEN_COPIES: Duration = Duration::from_millis(2_500);
+/// Changes of other objects at once after that: revisions of before are given out again.
+const CHANGES_SINCE: u32 = 10;
 /// How long after the last fault the fleet has to be whole again.
 const HEALING: Duration = Duration::from_secs(20);
 
@@ -47,6 +55,8 @@
     pub proxies: usize,
     /// Whether a request that ends its endpoints comes again and again.
     pub crashing: bool,
+    /// Whether the store comes back from a copy from time to time.
+    pub winding_back: bool,
     /// Whether a line is printed for each fault.
     pub verbose: bool,
 }
@@ -69,12 +79,16 @@
     if options.crashing {
         crashing::prepare(&site);
     }
+    let store = site.store.clone();
     let metrics: Vec<_> = site.proxies.iter().map(|it| it.metrics).collect();
     let over = AtomicBool::new(false);
     let mut stage = Stage::new(options, &mut site);
     let (records, reverts, played) = thread::scope(|scope| {
         let calling: Vec<_> = callers.into_iter().map(|it| scope.spawn(|| it.run(&over))).collect();
         let crashing = options.crashing.then(|| scope.spawn(|| crashing::send(options.seed, &addresses, &over)));
+        if options.winding_back {
+            scope.spawn(|| wind_back(&store, &over));
+        }
         let watching = scope.spawn(|| watch_versions(&metrics, &over));
         let played = stage.play();
         over.store(true, Ordering::Release);
@@ -102,6 +116,16 @@
     config(version, &routes)
 }
 
+/// Has the store come back from a copy some seconds old, again and again.
+fn wind_back(store: &Store, over: &AtomicBool) {
+    while !over.load(Ordering::Acquire) {
+        store.copy();
+        thread::sleep(COPY_AGE);
+        store.wind_back(None, CHANGES_SINCE);
+        thread::sleep(BETWEEN_COPIES);
+    }
+}
+
 /// Watches the proxies' versions; counts those that went back within one run of a proxy.
 fn watch_versions(metrics: &[std::net::SocketAddr], over: &AtomicBool) -> usize {
     let mut seen = vec![(0, 0); metrics.len()];
