--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -20,8 +20,7 @@
 /// The part of a bucket that repeats of callers' requests leave to repeats of calls, since a call that
 /// fails wastes the work that waits for it, and a caller that is refused can come back. Repeats leave as much to those
 /// of more urgent work, calls or not: a repeat saves a caller's request at once, and a call's only where all calls of
-/// its work end well. A service of 137 guards that declines 55 in 100 for 8 s serves 56 in 100 of its urgent requests so in
-/// place of 48, and more in all (replayed).
+/// its work end well.
 const KEPT_PART: f64 = 0.2;
 /// How long a request for a repeat keeps that part from less urgent work: some times the pause between two of them at a
 /// guard whose service declines half.
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -6,9 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Work is begun only with so many times its mean time left. With 1.8 in place of 1, a service at 1.4 times its load
-/// ends 0.63 of its most urgent class's credit in time in place of 0.57 (mean of six simulated days of 50 s); 2.2
-/// and the mean with two mean deviations give the same within 0.01.
+/// Work is begun only with so many times its mean time left: with less, an overloaded service spends slots on work that ends
+/// late, and with more it refuses work that would have been in time.
 const TIMES_MEAN: f64 = 1.8;
 /// The part of the goal that a class of unknown length is taken to work.
 const UNKNOWN_WORK: u32 = 3;
--- a/src/proxy/ingress/placing.rs
+++ b/src/proxy/ingress/placing.rs
@@ -31,8 +31,7 @@
 /// centres. All asked guards keep the wish in their queues; the first free place is taken.
 const ASK_ANOTHER_AFTER: Duration = Duration::from_millis(15);
 /// How many guards hold a wish at first. More shorten the wait little, and each costs two small VMs processor time
-/// just when they are short of it: with two and a further one each 120 ms in place of four and 60 ms, and the
-/// patience of the mean, 91 proxies under load served 0.43 of the least served class in place of 0.16.
+/// just when they are short of it.
 const WISHES: usize = 2;
 /// After this one more guard may hold a wish: some of the first may be behind a cut, and their
 /// silence looks like a queue.
