Read as a newcomer: the field's words for a restored store and a listener, reservations of an earlier release

The store is restored from a backup, a watcher loses it and regains it, the stand-ins' listener is called one. Behaviour is otherwise as it was.

--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -43,7 +43,7 @@
     /// The asking proxy's; the case with it.
     Begun(Case),
     /// Another proxy's; the case as far as known.
-    AnotherS(Case),
+    Another(Case),
 }
 
 /// An object of a kind of ours.
@@ -172,7 +172,7 @@
         let object: Object<'_> = serde_json::from_str(&text)?;
         let stored: QuarantineObject = serde_json::from_str(object.spec.get())?;
         if stored.case.trials() != known.case.trials() {
-            return Ok(Trial::AnotherS(stored.case));
+            return Ok(Trial::Another(stored.case));
         }
         let body = encode(&next, Some(object.metadata.revision))?;
         let (status, _) = self.call(Method::PUT, &path, body, CALL_TIMEOUT).await?;
@@ -249,7 +249,7 @@
 }
 
 fn begun(status: StatusCode, next: Case, known: Case) -> Result<Trial, StoreFailure> {
-    if status == StatusCode::CONFLICT { Ok(Trial::AnotherS(known)) } else { done(status).map(|()| Trial::Begun(next)) }
+    if status == StatusCode::CONFLICT { Ok(Trial::Another(known)) } else { done(status).map(|()| Trial::Begun(next)) }
 }
 
 /// Decodes an object, which must be under the name of what it tells of.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -21,7 +21,7 @@
 /// in trouble.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Which history the store's revisions belong to; goes up by one each time it comes back from a copy.
+/// Which history the store's revisions belong to; goes up by one each time it is restored from a backup.
 pub type Era = u64;
 
 /// The era, in all answers.
@@ -95,8 +95,8 @@
     address: SocketAddr,
     /// The newest that anyone heard of; `None` before the first answer.
     era: Cell<Option<Era>>,
-    /// The store came back from a copy.
-    came_back: Notify,
+    /// The store was restored from a backup.
+    restored: Notify,
 }
 
 /// A part of a listing. Each item is decoded by itself: other writers' objects must not hide ours.
@@ -143,7 +143,7 @@
 impl Store {
     /// The store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, era: Cell::new(None), came_back: Notify::new() }
+        Self { address, era: Cell::new(None), restored: Notify::new() }
     }
 
     /// The newest era that anyone heard of.
@@ -156,13 +156,13 @@
         let before = self.era.get();
         self.era.set(before.max(Some(era)));
         if before.is_some_and(|it| it < era) {
-            self.came_back.notify_one();
+            self.restored.notify_one();
         }
     }
 
-    /// Waits until the store has come back from a copy: what was written since that may be gone.
-    pub async fn came_back(&self) {
-        self.came_back.notified().await;
+    /// Waits until the store has been restored from a backup: what was written since that may be gone.
+    pub async fn restored(&self) {
+        self.restored.notified().await;
     }
 
     /// A position at the revision of an answer that has just come.
@@ -189,7 +189,7 @@
         Ok(ConfigObject { config: ours.map(|it| parse_config(it.spec.get())), position: self.position(page.at_rev) })
     }
 
-    /// Waits for the configuration to change after `from`. If the store came back from a copy meanwhile, its history is
+    /// Waits for the configuration to change after `from`. If the store was restored from a backup meanwhile, its history is
     /// another one: revisions are given out again, and some changes may stand before `from`.
     ///
     /// # Errors
--- a/src/proxy/guard/quarantined.rs
+++ b/src/proxy/guard/quarantined.rs
@@ -23,7 +23,7 @@
     Peer,
     /// The store, from an earlier time perhaps.
     Store,
-    /// Its trial begins here.
+    /// The store, asked whose its next trial is.
     Trial,
 }
 
--- a/src/proxy/join.rs
+++ b/src/proxy/join.rs
@@ -13,7 +13,7 @@
 /// How long after its own object was written a proxy lists the others again; at that time a fleet that starts for the
 /// first time is complete.
 const LIST_AGAIN: Duration = Duration::from_millis(1_000);
-/// Within this time after the store came back from a copy proxies write their objects again, not all at once.
+/// Within this time after the store was restored from a backup proxies write their objects again, not all at once.
 const WRITE_AGAIN: Duration = Duration::from_millis(1_000);
 /// How many such listings may be stale ones, which cost a tenth: one that lags by seconds has caught up by then.
 const STALE_LOOKS: u32 = 4;
@@ -42,10 +42,10 @@
         self.list_after(&presence).await;
     }
 
-    /// Writes what this proxy had written again, each time the store has come back from a copy.
+    /// Writes what this proxy had written again, each time the store has been restored from a backup.
     pub(super) async fn keep_objects(self: Rc<Self>) {
         loop {
-            self.store.came_back().await;
+            self.store.restored().await;
             // A whole fleet hears of it within a few seconds.
             sleep(WRITE_AGAIN.mul_f64(rand::rng().random_range(0.0..1.0))).await;
             let presence = self.presence();
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -76,12 +76,6 @@
     pub service: ServiceName,
     /// The work's class.
     pub route: RouteName,
-    /// What the request asks for.
-    pub fingerprint: Fingerprint,
-    /// What the ingress knows against it.
-    pub case: Case,
-    /// It is the trial of a request that is held back.
-    pub released: bool,
     /// Whether the work may run again.
     pub idempotent: bool,
     /// Whether a suspect endpoint may be tried with it.
@@ -98,6 +92,15 @@
     pub useful_for: Duration,
     /// Up to this standing an endpoint is good enough for it.
     pub accepts: Standing,
+    /// What the request asks for; proxies of earlier releases don't say it, nor what follows.
+    #[serde(default)]
+    pub fingerprint: Fingerprint,
+    /// What the ingress knows against it.
+    #[serde(default)]
+    pub case: Case,
+    /// It is the trial of a request that is held back.
+    #[serde(default)]
+    pub released: bool,
 }
 
 /// What a guard tells with every reply.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -88,7 +88,7 @@
     /// This proxy watches the store for the others.
     watching: Cell<bool>,
     /// The store gave the last watch, or the read before it, no answer.
-    blind: Cell<bool>,
+    store_silent: Cell<bool>,
     substitution: Cell<Substitution>,
     directory: RefCell<Directory>,
     /// Some row changed, or a proxy joined or left.
@@ -154,7 +154,7 @@
             fetching: Cell::new(false),
             confirmed: Cell::new(None),
             watching: Cell::new(false),
-            blind: Cell::new(false),
+            store_silent: Cell::new(false),
             substitution: Cell::default(),
             directory: RefCell::new(Directory::new(first_row(&settings), now)),
             settings: RefCell::new(Rc::new(settings)),
--- a/src/proxy/quarantine.rs
+++ b/src/proxy/quarantine.rs
@@ -137,7 +137,7 @@
                 self.take_trial(fingerprint, case);
                 true
             }
-            Ok(Ok(Trial::AnotherS(case))) => {
+            Ok(Ok(Trial::Another(case))) => {
                 self.take_trial(fingerprint, case);
                 false
             }
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -96,13 +96,13 @@
             let object = match self.store.config(Consistency::Linearizable).await {
                 Ok(it) => it,
                 Err(error) => {
-                    self.see_nothing();
+                    self.lost_store();
                     backoff.failed(&error).await;
                     continue;
                 }
             };
             backoff.answered();
-            self.see_again();
+            self.regained_store();
             let mut position = self.take_config(object);
             self.confirm(clock::now().saturating_duration_since(asked));
             // What others read at their start may have been some seconds old.
@@ -114,7 +114,7 @@
                 match self.store.watch_config(position, watch).await {
                     Ok(WatchEnd::Went(object)) => {
                         backoff.answered();
-                        self.see_again();
+                        self.regained_store();
                         let changed = object.config.is_some();
                         position = self.take_config(object);
                         self.confirm(Duration::ZERO);
@@ -124,9 +124,9 @@
                     }
                     Ok(WatchEnd::HistoryGone) => break,
                     Err(error) => {
-                        self.see_nothing();
+                        self.lost_store();
                         backoff.failed(&error).await;
-                        // It may come back from a copy, and what was changed meanwhile before this position.
+                        // It may be restored from a backup, and what was changed meanwhile stand before this position.
                         break;
                     }
                 }
@@ -135,8 +135,8 @@
     }
 
     /// The store answers this watcher.
-    fn see_again(&self) {
-        self.blind.set(false);
+    fn regained_store(&self) {
+        self.store_silent.set(false);
         let mut substitution = self.substitution.get();
         substitution.answered();
         self.substitution.set(substitution);
@@ -144,8 +144,8 @@
 
     /// The store gives this watcher no answer. All watchers, and only they, may have lost their way to it: another is asked
     /// to watch at once, since the others would notice only when the last confirmation has grown old.
-    fn see_nothing(self: &Rc<Self>) {
-        self.blind.set(true);
+    fn lost_store(self: &Rc<Self>) {
+        self.store_silent.set(true);
         let mut substitution = self.substitution.get();
         if substitution.asks(clock::now()) {
             spawn_local(Rc::clone(self).ask_for_substitute());
@@ -168,7 +168,7 @@
     /// Watches in the place of a peer that lost its way to the store; false if this proxy has lost it, too.
     pub(super) fn substitute(&self) -> bool {
         if self.watching.get() {
-            return !self.blind.get();
+            return !self.store_silent.get();
         }
         let mut substitution = self.substitution.get();
         substitution.begin(clock::now());
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,12 +3,12 @@
 pub mod bench;
 pub mod demo;
 pub mod deployment;
-pub mod door;
 pub mod endpoint;
 pub mod fleet;
 pub mod gray;
 pub mod history;
 pub mod idle;
+pub mod listener;
 pub mod load;
 pub mod overload;
 pub mod platform;
--- /dev/null
+++ b/standins/src/listener.rs
@@ -0,0 +1,66 @@
+//! A listener that can be closed, so that connections are refused, and opened again at the same address.
+
+use std::{
+    io,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Condvar, Mutex, PoisonError},
+};
+
+use socket2::SockRef;
+
+/// The socket; its copies are the same one.
+#[derive(Debug, Clone)]
+pub struct Listener {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// `None` while it is closed.
+    socket: Arc<(Mutex<Option<Arc<TcpListener>>>, Condvar)>,
+}
+
+impl Listener {
+    /// Opens one on a free port.
+    pub fn open() -> io::Result<Self> {
+        let socket = TcpListener::bind("127.0.0.1:0")?;
+        let address = socket.local_addr()?;
+        Ok(Self { address, socket: Arc::new((Mutex::new(Some(Arc::new(socket))), Condvar::new())) })
+    }
+
+    /// Refuses connections from now on; open ones stay.
+    pub fn close(&self) {
+        let socket = self.socket.0.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(it) = socket {
+            // Wakes whoever waits for a connection, too.
+            _ = SockRef::from(&*it).shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Takes connections again.
+    pub fn reopen(&self) -> io::Result<()> {
+        let mut socket = self.socket.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if socket.is_none() {
+            *socket = Some(Arc::new(TcpListener::bind(self.address)?));
+            self.socket.1.notify_all();
+        }
+        Ok(())
+    }
+
+    /// Hands all connections to `serve`, for ever.
+    pub fn serve(&self, serve: impl Fn(TcpStream)) {
+        loop {
+            let socket = self.wait_until_open();
+            while let Ok((stream, _)) = socket.accept() {
+                serve(stream);
+            }
+        }
+    }
+
+    fn wait_until_open(&self) -> Arc<TcpListener> {
+        let mut socket = self.socket.0.lock().unwrap_or_else(PoisonError::into_inner);
+        loop {
+            if let Some(it) = &*socket {
+                return Arc::clone(it);
+            }
+            socket = self.socket.1.wait(socket).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -140,8 +140,8 @@
         proxies: usize,
         /// Have a request come again and again that ends its endpoints
         crashing: bool,
-        /// Have the store come back from a copy from time to time
-        winding_back: bool,
+        /// Have the store restored from a backup from time to time
+        restoring: bool,
         /// Print each fault
         verbose: bool,
     },
@@ -204,11 +204,11 @@
         Command::Idle { daemons, changes, endpoints, large } => {
             idle::run(IdleOptions { daemons, changes, endpoints, large }).map(|()| true)
         }
-        Command::ProxySoak { seed, count, seconds, proxies, crashing, winding_back, verbose } => {
+        Command::ProxySoak { seed, count, seconds, proxies, crashing, restoring, verbose } => {
             let duration = Duration::from_secs(seconds);
             let mut holds = true;
             for seed in seed..seed + count {
-                let options = platform::soak::SoakOptions { seed, duration, proxies, crashing, winding_back, verbose };
+                let options = platform::soak::SoakOptions { seed, duration, proxies, crashing, restoring, verbose };
                 let verdict = platform::soak::run(&options)?;
                 println!("seed {seed}: {}: {verdict}", if verdict.holds() { "kept" } else { "BROKEN" });
                 holds &= verdict.holds();
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -14,7 +14,7 @@
 use socket2::SockRef;
 
 use crate::{
-    door::Door,
+    listener::Listener,
     platform::http::{self, Message},
     relay::Relay,
 };
@@ -109,7 +109,7 @@
     service: Arc<str>,
     slots: u32,
     /// Its own listener, and those of relays before it.
-    doors: Arc<Mutex<Vec<Door>>>,
+    listeners: Arc<Mutex<Vec<Listener>>>,
     state: Arc<Mutex<State>>,
     sequence: Arc<AtomicU64>,
 }
@@ -117,7 +117,7 @@
 impl Endpoint {
     /// Starts one on a free port; it announces nothing yet.
     pub fn start(service: &str, instance: &str, slots: u32, work: Duration) -> io::Result<Self> {
-        let door = Door::open()?;
+        let listener = Listener::open()?;
         let state = State {
             mode: EndpointMode::Good,
             crash: None,
@@ -134,17 +134,17 @@
             most_running: 0,
         };
         let endpoint = Self {
-            address: door.address,
-            doors: Arc::new(Mutex::new(vec![door])),
+            address: listener.address,
+            listeners: Arc::new(Mutex::new(vec![listener])),
             service: service.into(),
             slots,
             state: Arc::new(Mutex::new(state)),
             sequence: Arc::new(AtomicU64::new(1)),
         };
         let serving = endpoint.clone();
-        let door = endpoint.doors.lock().unwrap_or_else(PoisonError::into_inner)[0].clone();
+        let listener = endpoint.listeners.lock().unwrap_or_else(PoisonError::into_inner)[0].clone();
         thread::spawn(move || {
-            door.serve(|stream| {
+            listener.serve(|stream| {
                 let endpoint = serving.clone();
                 thread::spawn(move || endpoint.serve(stream));
             });
@@ -159,13 +159,13 @@
 
     /// A relay before it refuses connections while it is down, as its own address does.
     pub fn stands_behind(&self, relay: &Relay) {
-        self.doors.lock().unwrap_or_else(PoisonError::into_inner).push(relay.door.clone());
+        self.listeners.lock().unwrap_or_else(PoisonError::into_inner).push(relay.listener.clone());
     }
 
     /// Ends: nobody listens any more, and all connections break off. It is back some time later.
     fn crash(&self, down_for: Duration) {
-        let doors = self.doors.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        doors.iter().for_each(Door::close);
+        let listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        listeners.iter().for_each(Listener::close);
         let mut state = self.lock();
         if std::mem::replace(&mut state.down, true) {
             return;
@@ -177,18 +177,18 @@
         let endpoint = self.clone();
         thread::spawn(move || {
             thread::sleep(down_for);
-            endpoint.come_back(&doors);
+            endpoint.come_back(&listeners);
         });
     }
 
     /// Starts again, in a new life.
-    fn come_back(&self, doors: &[Door]) {
+    fn come_back(&self, listeners: &[Listener]) {
         let mut state = self.lock();
         state.lives += 1;
         let instance = format!("{}-life-{}", state.instance, state.lives);
         drop(state);
         self.replace(&instance);
-        for it in doors {
+        for it in listeners {
             if let Err(error) = it.reopen() {
                 eprintln!("{} stays down: {error}", it.address);
                 return;
--- a/standins/src/platform/soak/mod.rs
+++ b/standins/src/platform/soak/mod.rs
@@ -36,9 +36,9 @@
 const SLOTS: u32 = 4;
 /// Callers of each proxy.
 const CALLERS: usize = 3;
-/// How old the copies are from which the store comes back, and the pause until the next one is made.
-const COPY_AGE: Duration = Duration::from_millis(1_500);
-const BETWEEN_COPIES: Duration = Duration::from_millis(2_500);
+/// How old the backups are from which the store is restored, and the pause until the next one is made.
+const BACKUP_AGE: Duration = Duration::from_millis(1_500);
+const BETWEEN_BACKUPS: Duration = Duration::from_millis(2_500);
 /// Changes of other objects at once after that: revisions of before are given out again.
 const CHANGES_SINCE: u32 = 10;
 /// How long after the last fault the fleet has to be whole again.
@@ -55,8 +55,8 @@
     pub proxies: usize,
     /// Whether a request that ends its endpoints comes again and again.
     pub crashing: bool,
-    /// Whether the store comes back from a copy from time to time.
-    pub winding_back: bool,
+    /// Whether the store is restored from a backup from time to time.
+    pub restoring: bool,
     /// Whether a line is printed for each fault.
     pub verbose: bool,
 }
@@ -86,8 +86,8 @@
     let (records, reverts, played) = thread::scope(|scope| {
         let calling: Vec<_> = callers.into_iter().map(|it| scope.spawn(|| it.run(&over))).collect();
         let crashing = options.crashing.then(|| scope.spawn(|| crashing::send(options.seed, &addresses, &over)));
-        if options.winding_back {
-            scope.spawn(|| wind_back(&store, &over));
+        if options.restoring {
+            scope.spawn(|| restore(&store, &over));
         }
         let watching = scope.spawn(|| watch_versions(&metrics, &over));
         let played = stage.play();
@@ -116,13 +116,13 @@
     config(version, &routes)
 }
 
-/// Has the store come back from a copy some seconds old, again and again.
-fn wind_back(store: &Store, over: &AtomicBool) {
+/// Has the store restored from a backup some seconds old, again and again.
+fn restore(store: &Store, over: &AtomicBool) {
     while !over.load(Ordering::Acquire) {
-        store.copy();
-        thread::sleep(COPY_AGE);
-        store.wind_back(None, CHANGES_SINCE);
-        thread::sleep(BETWEEN_COPIES);
+        store.back_up();
+        thread::sleep(BACKUP_AGE);
+        store.restore(None, CHANGES_SINCE);
+        thread::sleep(BETWEEN_BACKUPS);
     }
 }
 
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -55,10 +55,10 @@
     oldest: u64,
     mode: StoreMode,
     calls: u64,
-    /// Goes up by one each time the store comes back from a copy.
+    /// Goes up by one each time the store is restored from a backup.
     era: u64,
-    /// The last copy.
-    copy: (Vec<Stored>, u64),
+    /// The last backup.
+    backup: (Vec<Stored>, u64),
 }
 
 impl State {
@@ -122,18 +122,18 @@
         self.shared.1.notify_all();
     }
 
-    /// Makes a copy, from which it may come back.
-    pub fn copy(&self) {
+    /// Makes a backup, from which it may be restored.
+    pub fn back_up(&self) {
         let mut state = self.lock();
-        state.copy = (state.objects.clone(), state.revision);
+        state.backup = (state.objects.clone(), state.revision);
     }
 
-    /// Comes back from the copy: what the system wrote since is gone, and revisions are given out again. What the operator wrote
+    /// Is restored from the backup: what the system wrote since is gone, and revisions are given out again. What the operator wrote
     /// is written again, `spec` in place of its last configuration if there is one; then come `others` changes of other objects.
-    pub fn wind_back(&self, spec: Option<Value>, others: u32) {
+    pub fn restore(&self, spec: Option<Value>, others: u32) {
         let mut state = self.lock();
         let last = state.objects.iter().find(|it| it.kind == CONFIG).map(|it| it.spec.clone());
-        (state.objects, state.revision) = state.copy.clone();
+        (state.objects, state.revision) = state.backup.clone();
         state.era += 1;
         let revision = state.revision;
         if let Some(spec) = spec.or(last) {
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -14,7 +14,7 @@
 
 use socket2::SockRef;
 
-use crate::door::Door;
+use crate::listener::Listener;
 
 /// How often a relay looks whether its weather has changed.
 const LOOK: Duration = Duration::from_millis(20);
@@ -54,18 +54,18 @@
 pub struct Relay {
     /// Where it listens.
     pub address: SocketAddr,
-    pub(crate) door: Door,
+    pub(crate) listener: Listener,
     shared: Arc<Shared>,
 }
 
 impl Relay {
     /// Starts a relay before `target`.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let door = Door::open()?;
+        let listener = Listener::open()?;
         let shared = Arc::new(Shared::default());
-        let relay = Self { address: door.address, door: door.clone(), shared: Arc::clone(&shared) };
+        let relay = Self { address: listener.address, listener: listener.clone(), shared: Arc::clone(&shared) };
         thread::spawn(move || {
-            door.serve(|near| {
+            listener.serve(|near| {
                 // A target that is away looks like a connection that ends at once.
                 let Ok(far) = TcpStream::connect(target) else { return };
                 for (from, to, way) in
--- a/standins/tests/proxy_soak.rs
+++ b/standins/tests/proxy_soak.rs
@@ -18,16 +18,10 @@
     #[case] seed: u64,
     #[case] seconds: u64,
     #[case] crashing: bool,
-    #[case] winding_back: bool,
+    #[case] restoring: bool,
 ) {
-    let options = SoakOptions {
-        seed,
-        duration: Duration::from_secs(seconds),
-        proxies: 6,
-        crashing,
-        winding_back,
-        verbose: false,
-    };
+    let options =
+        SoakOptions { seed, duration: Duration::from_secs(seconds), proxies: 6, crashing, restoring, verbose: false };
 
     let verdict = soak::run(&options).expect("the fleet starts");
 
--- a/standins/tests/quarantine.rs
+++ b/standins/tests/quarantine.rs
@@ -47,7 +47,7 @@
 
         let Trial::Begun(case) = first else { panic!("{first:?}") };
         assert_eq!(case.trials(), 1);
-        assert_eq!(second.expect("an answer"), Trial::AnotherS(case));
+        assert_eq!(second.expect("an answer"), Trial::Another(case));
     });
 }
 
