--- a/src/proxy/links.rs
+++ b/src/proxy/links.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    mem,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -125,13 +124,7 @@
                 link.wanted.set(false);
             }
         }
-        self.links.borrow_mut().retain(|(_, link)| {
-            let needless = link.is_needless();
-            if needless {
-                link.release();
-            }
-            !needless
-        });
+        self.links.borrow_mut().retain(|it| !it.1.is_needless());
     }
 
     /// The rows of those to link to, sorted by name.
@@ -168,7 +161,7 @@
         let near = row.data_centre == self.settings.borrow().data_centre;
         let link = Rc::new(Link::new(row, near));
         match found {
-            Ok(at) => mem::replace(&mut links[at].1, Rc::clone(&link)).release(),
+            Ok(at) => links[at].1 = Rc::clone(&link),
             Err(at) => links.insert(at, (row.daemon.clone(), Rc::clone(&link))),
         }
         drop(links);
@@ -189,7 +182,7 @@
                     select! {
                         () = self.keep_greeting(&link) => (),
                         () = connected.ended() => (),
-                        () = link.released() => (),
+                        () = self.needless(&name, &link) => (),
                     }
                     pause = FIRST_PAUSE;
                 }
@@ -212,6 +205,13 @@
         self.link(name).is_some_and(|it| Rc::ptr_eq(&it, link))
     }
 
+    /// Waits until the link is no longer one of this proxy's.
+    async fn needless(&self, name: &str, link: &Rc<Link>) {
+        while self.is_current(name, link) {
+            sleep(CHOOSE_EVERY).await;
+        }
+    }
+
     /// Holds a proxy to be down that can't be reached for long, and tells so; if it lives, it hears of that and refutes it.
     fn hold_down(&self, name: &str) {
         let (up, all) = self.links_up();
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -82,8 +82,6 @@
     told: Cell<(u32, Instant)>,
     /// Places asked for since then.
     asked: Cell<u32>,
-    /// It is no longer one of this proxy's links.
-    released: Notify,
     /// There is something to tell the proxy.
     greet: Notify,
     /// All of our row is to be told, not just the part that changes often.
@@ -135,7 +133,6 @@
             health: RefCell::default(),
             told: Cell::new((0, Instant::now())),
             asked: Cell::new(0),
-            released: Notify::new(),
             greet: Notify::new(),
             fully: Cell::new(true),
         }
@@ -200,16 +197,6 @@
         !self.chosen.get() && !self.wanted.get() && self.calls.get() == 0
     }
 
-    /// Tells whoever keeps the link open that it is no longer one of this proxy's links.
-    pub(super) fn release(&self) {
-        self.released.notify_one();
-    }
-
-    /// Waits for [`Self::release`].
-    pub(super) async fn released(&self) {
-        self.released.notified().await;
-    }
-
     /// How far the proxy's endpoint is trusted, as last told.
     pub(super) fn standing(&self) -> Standing {
         self.standing.get().2
