Daemon: SIGHUP no longer kills it

Callers lost what was open at a daemon that got SIGHUP: it handled SIGTERM and SIGINT only, so the default action of SIGHUP ended it at once, without its graceful stop. Found by looking for the fault of the starting proxy elsewhere. Now SIGHUP is logged and has no effect, because a daemon reads its settings at the start only. The new case failed before (the daemon had ended by the signal) and passes now; the others of the file pass.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -33,7 +33,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use rand::RngExt as _;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -148,7 +148,8 @@
 ///
 /// If a signal handler can't be installed, a listener can't be opened, or the metrics recorder can't be installed.
 pub fn run(settings: Settings) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|it| Error::io("installing signal handlers", it))?;
+    let mut signals =
+        Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(|it| Error::io("installing signal handlers", it))?;
     startup_signals::release();
     let callers = Listener::open(settings.callers)?;
     let peers = Listener::open(settings.peers)?;
@@ -165,11 +166,17 @@
     spawn("tick", &daemon, tick_endpoints);
     spawn("records", &daemon, maintain_tickets);
     log::info!(daemon = &*daemon.settings.name, incarnation = daemon.incarnation; "started");
-    signals.forever().next();
+    wait_for_stop(&mut signals);
     shut_down(&daemon);
     Ok(())
 }
 
+/// Waits for SIGTERM or SIGINT. SIGHUP is often sent to have settings read again, so it must not kill the daemon.
+fn wait_for_stop(signals: &mut Signals) {
+    let hangups = signals.forever().take_while(|it| *it == SIGHUP);
+    hangups.for_each(|_| log::warn!("SIGHUP ignored: the settings are read at the start only"));
+}
+
 fn spawn(name: &'static str, daemon: &Arc<Daemon>, act: impl FnOnce(&Arc<Daemon>) + Send + 'static) {
     let daemon = Arc::clone(daemon);
     let result = thread::Builder::new().name(name.into()).spawn(move || act(&daemon));
--- a/standins/tests/startup_signals.rs
+++ b/standins/tests/startup_signals.rs
@@ -42,7 +42,7 @@
         match self {
             Self::Proxy => Duration::from_millis(1_500),
             // A daemon tells its peers first that it leaves, and lingers.
-            Self::Daemon => Duration::from_secs(15),
+            Self::Daemon => Duration::from_secs(10),
         }
     }
 }
@@ -105,6 +105,7 @@
 #[case::stop(Role::Proxy, 2, Signal::TERM, true)]
 #[case::stop_of_a_daemon(Role::Daemon, 3, Signal::TERM, true)]
 #[case::interrupt_of_a_daemon(Role::Daemon, 4, Signal::INT, true)]
+#[case::hangup_of_a_daemon(Role::Daemon, 5, Signal::HUP, false)]
 fn a_signal_received_before_the_settings_are_read_is_handled(
     #[case] role: Role,
     #[case] number: u8,
