Proxy: SIGINT stops it gracefully, as SIGTERM does

Ctrl-C in a proxy's terminal ended it at once and cut the requests it had open: it handled SIGTERM and SIGHUP only. The stopping line names the signal. The new case failed before (ended by the signal) and passes now.

--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -35,7 +35,7 @@
 pub enum Event<'a> {
     /// The process started to serve. `hup` and `term` are what it inherited for SIGHUP and SIGTERM.
     Started { version: &'static str, hup: Disposition, term: Disposition },
-    /// The process received SIGTERM, or is about to exit.
+    /// The process received SIGTERM or SIGINT, or is about to exit.
     Stopping { why: &'a str, running: usize },
     /// The settings file was read again and has changed or is invalid.
     Reloaded { changed: bool, findings: &'a str },
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -105,14 +105,14 @@
     endpoint_changes: Cell<u64>,
     /// Number of caller requests without a response.
     open_requests: Cell<usize>,
-    /// Set when SIGTERM is received.
+    /// Set when SIGTERM or SIGINT is received.
     stop: Cell<Option<Shutdown>>,
     /// Notified when `stop` is set.
     stop_requested: Notify,
     metrics: PrometheusHandle,
 }
 
-/// Runs a proxy with the settings file at `path` until SIGTERM.
+/// Runs a proxy with the settings file at `path` until SIGTERM or SIGINT.
 ///
 /// # Errors
 ///
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -18,33 +18,39 @@
 /// How often a stopping proxy checks whether its stage is over.
 const STAGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Handlers of SIGTERM and SIGHUP. A signal that arrives before `recv` is kept.
+/// Handlers of SIGTERM, SIGINT and SIGHUP. A signal that arrives before `recv` is kept.
 pub(super) struct Signals {
     term: Signal,
+    int: Signal,
     hup: Signal,
 }
 
 impl Signals {
     /// Installs the handlers and releases the signals that were held during the start.
     pub(super) fn register() -> io::Result<Self> {
-        let signals = Self { term: signal(SignalKind::terminate())?, hup: signal(SignalKind::hangup())? };
+        let signals = Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        };
         startup_signals::release();
         Ok(signals)
     }
 }
 
-/// Serves until SIGTERM, then finishes the work in progress and returns.
+/// Serves until SIGTERM or SIGINT, then finishes the work in progress and returns.
 pub(super) async fn run_until_stopped(proxy: &Rc<Proxy>, signals: Signals) {
-    let Signals { mut term, mut hup } = signals;
+    let Signals { mut term, mut int, mut hup } = signals;
     let mut reload_interval = interval(RELOAD_INTERVAL);
-    loop {
+    let received = loop {
         tokio::select! {
-            _ = term.recv() => break,
+            _ = term.recv() => break "SIGTERM",
+            _ = int.recv() => break "SIGINT",
             _ = hup.recv() => proxy.reload(),
             _ = reload_interval.tick() => proxy.reload(),
         }
-    }
-    let finish = proxy.finish();
+    };
+    let finish = proxy.finish(received);
     tokio::pin!(finish);
     loop {
         tokio::select! {
@@ -72,11 +78,11 @@
     }
 
     /// Shuts down in stages: hands over, finishes the work in progress, and leaves the fleet if the endpoint is gone.
-    async fn finish(self: &Rc<Self>) {
+    async fn finish(self: &Rc<Self>, received: &str) {
         let shutdown = Shutdown::new(clock::now(), self.settings.borrow().shutdown_grace);
         self.stop.set(Some(shutdown));
         self.stop_requested.notify_waiters();
-        self.log_stopping("SIGTERM");
+        self.log_stopping(received);
         let removal = self.leave_fleet();
         let hand_over = async {
             self.guard.drain_until(shutdown.work_deadline());
--- a/standins/tests/startup_signals.rs
+++ b/standins/tests/startup_signals.rs
@@ -106,6 +106,7 @@
 #[case::stop_of_a_daemon(Role::Daemon, 3, Signal::TERM, true)]
 #[case::interrupt_of_a_daemon(Role::Daemon, 4, Signal::INT, true)]
 #[case::hangup_of_a_daemon(Role::Daemon, 5, Signal::HUP, false)]
+#[case::interrupt(Role::Proxy, 6, Signal::INT, true)]
 fn a_signal_received_before_the_settings_are_read_is_handled(
     #[case] role: Role,
     #[case] number: u8,
