Stand-ins: each process chooses free ports of a loopback address of its own

Cause: a fleet chose a free port, released it and passed it to a process that bound it later, and all processes chose among the same 20,000 ports, so that one could take or try a port between another's choice and its use. The new test of the addresses failed before by design (all were 127.0.0.1).

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     env, fs,
     io::{self, Write as _},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -270,15 +270,16 @@
     Ok(serde_json::from_str(&text)?)
 }
 
-/// A loopback address with a free port below the range of ephemeral ports.
-pub fn free_address() -> io::Result<SocketAddr> {
-    const FIRST: u32 = 10_000;
+/// An address with a free port below the range of ephemeral ports. Only this process chooses ports of its IP address,
+/// because another one could take the port before it is used.
+fn free_address() -> io::Result<SocketAddr> {
+    const FIRST_PORT: u16 = 10_000;
     const COUNT: u32 = 20_000;
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id().wrapping_mul(97);
+    let ip = loopback_address(std::process::id());
     for _ in 0..COUNT {
-        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + number) as u16));
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) % COUNT;
+        let address = SocketAddr::from((ip, FIRST_PORT + number as u16));
         if TcpListener::bind(address).is_ok() {
             return Ok(address);
         }
@@ -286,6 +287,12 @@
     Err(io::ErrorKind::AddrInUse.into())
 }
 
+/// The loopback address of the process `pid`; it differs for all process ids that Linux assigns.
+pub fn loopback_address(pid: u32) -> Ipv4Addr {
+    let [_, a, b, c] = pid.to_be_bytes();
+    Ipv4Addr::new(127, 128 + a % 64, b, c)
+}
+
 /// Waits until `address` accepts connections; an error after 10 s.
 fn wait_for_listener(address: SocketAddr) -> io::Result<()> {
     let deadline = Instant::now() + Duration::from_secs(10);
--- /dev/null
+++ b/standins/tests/fleet_addresses.rs
@@ -0,0 +1,18 @@
+//! Two processes that started fleets at the same time could choose the same port. Then a store, daemon or endpoint of one
+//! exited with "Address already in use", and the fleet missed it.
+
+use standins::fleet::loopback_address;
+
+/// Process ids are below this on 64-bit Linux.
+const PID_LIMIT: u32 = 1 << 22;
+
+#[test]
+fn every_process_has_its_own_loopback_address() {
+    let mut addresses: Vec<_> = (1..PID_LIMIT).map(loopback_address).collect();
+
+    addresses.sort_unstable();
+    addresses.dedup();
+
+    assert_eq!(addresses.len(), PID_LIMIT as usize - 1);
+    assert!(addresses.iter().all(|it| it.is_loopback()));
+}
