--- a/standins/tests/startup_signals.rs
+++ b/standins/tests/startup_signals.rs
@@ -1,7 +1,7 @@
 //! Signals sent to a proxy or daemon that is still starting. Unless they are held, their default action kills the process.
 
 use std::{
-    io::Write as _,
+    io::{BufRead as _, BufReader, Write as _},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -134,3 +134,32 @@
     _ = process.wait();
     assert_eq!(exit_status.map(|it| it.success()), exits.then_some(true));
 }
+
+/// Ignores SIGHUP, sends many of them to itself, and meanwhile becomes the program in `$0`.
+const START_UNDER_SIGHUP: &str = r#"
+trap '' HUP
+(for i in $(seq 2000); do kill -HUP $$ 2>/dev/null || exit; done) >/dev/null &
+exec "$0" proxy --settings /dev/stdin
+"#;
+
+/// Nothing else can protect a process from SIGHUP while the system still loads its program.
+#[test]
+fn a_proxy_started_with_sighup_ignored_survives_it_at_once_and_says_so() {
+    let program = fleet::program_path("jayreach").expect("the jayreach program is built");
+    let mut command = Command::new("sh");
+    command.args(["-c", START_UNDER_SIGHUP]).arg(program).stdin(Stdio::piped()).stdout(Stdio::piped());
+    let mut proxy = command.spawn().expect("the proxy starts");
+
+    let mut stdin = proxy.stdin.take().expect("standard input is piped");
+    stdin.write_all(proxy_settings(7).as_bytes()).expect("the proxy reads its settings");
+    drop(stdin);
+    let mut line = String::new();
+    let read = BufReader::new(proxy.stdout.take().expect("standard output is piped")).read_line(&mut line);
+
+    // Fails if the proxy has exited.
+    _ = proxy.kill();
+    _ = proxy.wait();
+    read.expect("the proxy logs its start");
+    assert!(line.contains(r#""event":"started""#), "{line}");
+    assert!(line.contains(r#""hup":"ignored","term":"default""#), "{line}");
+}
