Stand-ins: a port is no longer tried out before it is used

Cause: the port was tried by listening on it for a moment, and a process that another test started then inherited the socket until its exec; the logs show that a connection to the port had been accepted before the store ran. Nobody else uses the address, so nothing needs to be tried.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -3,10 +3,10 @@
 use std::{
     env, fs,
     io::{self, Write as _},
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::atomic::{AtomicU16, AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -129,7 +129,7 @@
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let dir = env::temp_dir().join(format!("jayreach-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir)?;
-        let store = free_address()?;
+        let store = free_address();
         let store_process = start_standin(&dir, "store", &["store".into(), format!("--address={store}")])?;
         wait_for_listener(store)?;
         Ok(Self { dir, store, store_process, daemons: Vec::new(), endpoints: Vec::new() })
@@ -138,7 +138,7 @@
     /// Starts a daemon in a data centre and returns its index in `daemons`.
     pub fn add_daemon(&mut self, data_centre: &str) -> io::Result<usize> {
         let name = format!("vm-{}", self.daemons.len() + 1);
-        let (callers, peers, local) = (free_address()?, free_address()?, free_address()?);
+        let (callers, peers, local) = (free_address(), free_address(), free_address());
         let settings = self.dir.join(format!("{name}.toml"));
         let mut file = fs::File::create(&settings)?;
         writeln!(file, "name = \"{name}\"\ndata_centre = \"{data_centre}\"")?;
@@ -163,7 +163,7 @@
 
     /// Starts an endpoint that announces itself to the daemon with index `daemon`; returns its index in `endpoints`.
     pub fn add_endpoint(&mut self, service: &str, daemon: usize, profile: EndpointProfile) -> io::Result<usize> {
-        let address = free_address()?;
+        let address = free_address();
         let log = self.dir.join(format!("runs-{}.log", self.endpoints.len()));
         let args = [
             "endpoint".to_owned(),
@@ -270,21 +270,12 @@
     Ok(serde_json::from_str(&text)?)
 }
 
-/// An address with a free port below the range of ephemeral ports. Only this process chooses ports of its IP address,
-/// because another one could take the port before it is used.
-fn free_address() -> io::Result<SocketAddr> {
+/// An address with a port below the range of ephemeral ports. Nobody else chooses ports of this process's IP address, so
+/// the port is free; it isn't tried out, because a process that starts meanwhile would inherit the socket until its exec.
+fn free_address() -> SocketAddr {
     const FIRST_PORT: u16 = 10_000;
-    const COUNT: u32 = 20_000;
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let ip = loopback_address(std::process::id());
-    for _ in 0..COUNT {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed) % COUNT;
-        let address = SocketAddr::from((ip, FIRST_PORT + number as u16));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(io::ErrorKind::AddrInUse.into())
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    SocketAddr::from((loopback_address(std::process::id()), NEXT.fetch_add(1, Ordering::Relaxed)))
 }
 
 /// The loopback address of the process `pid`; it differs for all process ids that Linux assigns.
