--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -126,6 +126,7 @@
 }
 
 async fn run_in_local_set(path: &Path) -> Result<(), Error> {
+    // Before the settings, so that a slow read of them delays no signal.
     let hup = startup_signals::inherited(Signal::SIGHUP);
     let term = startup_signals::inherited(Signal::SIGTERM);
     let signals = Signals::register().map_err(|it| Error::io("installing the signal handlers", it))?;
--- a/src/startup_signals.rs
+++ b/src/startup_signals.rs
@@ -35,14 +35,16 @@
     }
 }
 
-/// Delivers the signals from now on, also those that arrived meanwhile. Call it before other threads start, because a
-/// thread inherits what is blocked.
+/// Delivers the signals from now on, also those that arrived meanwhile, and those that the process inherited as
+/// blocked: without SIGTERM it could not be stopped gracefully. Call it before other threads start, because a thread
+/// inherits what is blocked.
 pub fn release() {
     // Fails only for an invalid argument.
     _ = held().thread_unblock();
 }
 
-/// What this process inherited for `signal`. Call it before a handler of the signal is installed.
+/// What this process inherited for `signal`; [`Disposition::Default`] if the system doesn't tell. Call it after [`hold`]
+/// and before a handler of the signal is installed.
 pub fn inherited(signal: Signal) -> Disposition {
     if INHERITED_BLOCKED.get().is_some_and(|it| it.contains(signal)) {
         return Disposition::Blocked;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -270,8 +270,9 @@
     Ok(serde_json::from_str(&text)?)
 }
 
-/// An address with a port below the range of ephemeral ports. Nobody else chooses ports of this process's IP address, so
-/// the port is free; it isn't tried out, because a process that starts meanwhile would inherit the socket until its exec.
+/// An address with a port below the range of ephemeral ports. The port is free, because no other process uses this IP
+/// address. It is not probed with a socket: a child process that is being started would keep the socket open until its
+/// exec.
 fn free_address() -> SocketAddr {
     const FIRST_PORT: u16 = 10_000;
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
--- a/standins/tests/fleet_addresses.rs
+++ b/standins/tests/fleet_addresses.rs
@@ -1,5 +1,5 @@
-//! Two processes that started fleets at the same time could choose the same port. Then a store, daemon or endpoint of one
-//! exited with "Address already in use", and the fleet missed it.
+//! Processes that start fleets at the same time must not choose the same address, or a store, daemon or endpoint exits
+//! with "Address already in use".
 
 use standins::fleet::loopback_address;
 
