Guard: event line and gauges for a rate limit that the endpoint names

Lines and metrics could not tell whether a limit was unread, forgotten or exceeded by retries: nothing named a limit at all. The guard now reads Server-Limit and Server-Leaving from the answers that are surely its endpoint's, and writes a limit line when the stated limit begins, changes or ends. It enforces nothing yet.

An answer without the header ends a limit only if its request was sent after the last answer that named one: answers on different connections may be read in another order than they were written.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod origin;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod service_times;
 pub mod shutdown;
 pub mod slot_time;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -7,6 +7,8 @@
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
 
+use crate::decide::rate_limit::{LimitStatement, RequestRate};
+
 /// Identifies one attempt of a caller; endpoints echo it.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// How long the sender waits for the response, in milliseconds.
@@ -23,6 +25,10 @@
 const CALLER_SERVICE: HeaderName = HeaderName::from_static("x-caller-service");
 /// The incarnation that responds, in responses to health probes and with status 421.
 const INSTANCE_ID: HeaderName = HeaderName::from_static("x-instance-id");
+/// The requests a second that an endpoint takes from all proxies together.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// `1` in the responses of an endpoint that is about to shut down.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Returns the id of a caller's attempt, `None` if it is absent or not ASCII.
 pub fn request_id(headers: &HeaderMap) -> Option<&str> {
@@ -87,6 +93,26 @@
     header_str(headers, &INSTANCE_ID)
 }
 
+/// Returns what a response states about its endpoint's rate limit. The lowest of several limits counts; if one of them is
+/// malformed, the response states nothing.
+pub fn limit_statement(headers: &HeaderMap) -> LimitStatement {
+    let mut lowest: Option<RequestRate> = None;
+    for value in headers.get_all(SERVER_LIMIT) {
+        let Ok(text) = value.to_str() else { return LimitStatement::Malformed };
+        for number in text.split(',') {
+            let rate = number.trim().parse().ok().and_then(|it: f64| RequestRate::try_from(it).ok());
+            let Some(rate) = rate else { return LimitStatement::Malformed };
+            lowest = Some(lowest.map_or(rate, |it| if rate < it { rate } else { it }));
+        }
+    }
+    lowest.map_or(LimitStatement::None, LimitStatement::Limit)
+}
+
+/// Whether a response states that its endpoint is about to shut down.
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    headers.get_all(SERVER_LEAVING).iter().any(|it| it.as_bytes().trim_ascii() == b"1")
+}
+
 /// Returns a `Retry-After` header of `pause` in seconds, with two decimals.
 pub fn retry_after(pause: Duration) -> (HeaderName, HeaderValue) {
     let text = format!("{:.2}", pause.as_secs_f64());
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,8 +13,8 @@
 pub use announce::{AnnounceCall, announce_call, parse_deregistration, parse_heartbeat};
 pub use config::{ConfigFinding, ParsedConfig, parse_config};
 pub use headers::{
-    caller_service, deadline, endpoint_load, expected_instance, has_response_seal, instance_id, not_executed,
-    request_id, retry_after, set_caller_service, set_deadline, set_expected_instance,
+    caller_service, deadline, endpoint_load, expected_instance, has_response_seal, instance_id, is_leaving,
+    limit_statement, not_executed, request_id, retry_after, set_caller_service, set_deadline, set_expected_instance,
 };
 pub use health::probe_health;
 pub use objects::{Listing, PresenceObject, QuarantineObject, SkippedObject, TrialClaim};
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -9,13 +9,14 @@
 
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response,
+    HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
     header::{CONNECTION, CONTENT_ENCODING, HOST, HeaderName},
 };
 use tokio::{sync::Mutex, time::timeout};
 
 use crate::{
+    decide::rate_limit::LimitStatement,
     platform,
     proxy::{
         client::{self, CallError, Connection},
@@ -62,16 +63,45 @@
     pub(super) time_left: Duration,
 }
 
+/// What an answer states about the endpoint itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct EndpointNotice {
+    /// The endpoint's rate limit.
+    pub(super) limit: LimitStatement,
+    /// Whether the endpoint is about to shut down.
+    pub(super) leaving: bool,
+}
+
+impl EndpointNotice {
+    /// The notice in the headers of an answer to the request `request_id`; `None` if it may come from another process or
+    /// incarnation, or answer another request.
+    fn from_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> Option<Self> {
+        let is_other_request = platform::request_id(headers).is_some_and(|it| *it != *request_id);
+        let not_executed = platform::not_executed(headers);
+        let is_from_endpoint = not_executed || platform::has_response_seal(headers);
+        if is_other_request || status == StatusCode::MISDIRECTED_REQUEST || !is_from_endpoint {
+            return None;
+        }
+        let limit = match platform::limit_statement(headers) {
+            // Whatever rejects requests for the endpoint may not know its limit.
+            LimitStatement::None if not_executed => LimitStatement::Malformed,
+            it => it,
+        };
+        Some(Self { limit, leaving: platform::is_leaving(headers) })
+    }
+}
+
 impl EndpointPool {
     pub(super) fn new(address: SocketAddr) -> Self {
         Self { address, idle: RefCell::default(), last_probe: Mutex::default() }
     }
 
-    /// Sends a request and classifies the response. Dropping the future closes the connection, by which the endpoint
-    /// notices that the request is cancelled.
-    pub(super) async fn run(&self, req: EndpointRequest) -> RunEnd {
+    /// Sends a request and classifies the response. Calls `on_notice` as soon as the headers of the response are there,
+    /// since its body may break off. Dropping the future closes the connection, by which the endpoint notices that the
+    /// request is cancelled.
+    pub(super) async fn run(&self, req: EndpointRequest, on_notice: impl Fn(EndpointNotice)) -> RunEnd {
         let limit = req.time_left + RESPONSE_GRACE;
-        match timeout(limit, self.exchange(req)).await {
+        match timeout(limit, self.exchange(req, on_notice)).await {
             Ok(RunEnd::Unknown(UnknownReason::Broken)) if self.has_ended().await => {
                 RunEnd::Unknown(UnknownReason::Ended)
             }
@@ -105,7 +135,7 @@
         ended
     }
 
-    async fn exchange(&self, req: EndpointRequest) -> RunEnd {
+    async fn exchange(&self, req: EndpointRequest, on_notice: impl Fn(EndpointNotice)) -> RunEnd {
         let start = Instant::now();
         let mut hyper_req = self.hyper_request(&req);
         loop {
@@ -129,7 +159,12 @@
             }
             metrics::counter!("jayreach_endpoint_arrivals_total").increment(1);
             match connection.sender.try_send_request(hyper_req).await {
-                Ok(resp) => return self.classify_response(&req, connection, resp, start).await,
+                Ok(resp) => {
+                    if let Some(it) = EndpointNotice::from_answer(resp.status(), resp.headers(), &req.request_id) {
+                        on_notice(it);
+                    }
+                    return self.classify_response(&req, connection, resp, start).await;
+                }
                 Err(mut error) => match error.take_message() {
                     // Nothing was sent yet, so the request can be sent on another connection.
                     Some(unsent) if reused => hyper_req = unsent,
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 
 use crate::{
-    decide::{fingerprint::Fingerprint, incarnation::UnixMillis, suspicion::EndpointStanding},
+    decide::{fingerprint::Fingerprint, incarnation::UnixMillis, rate_limit::RequestRate, suspicion::EndpointStanding},
     proxy::{
         directory::ProxyName,
         message::{GrantRefusal, NotRunReason, UnknownReason},
@@ -63,6 +63,16 @@
     EntrySkipped { entry: &'a str, why: &'a str },
     /// The VM's endpoint announced a change, or was replaced by another incarnation.
     Endpoint { id: &'a str, born: Option<UnixMillis>, service: &'a str, phase: &'a str, sequence: u64, why: &'a str },
+    /// The VM's endpoint named a rate limit, in requests a second, changed it or no longer names one; `source` is where
+    /// this proxy learnt it, `request` the request whose answer said so, `age_ms` the time since the endpoint said so.
+    Limit {
+        endpoint: &'a str,
+        rate: Option<RequestRate>,
+        before: Option<RequestRate>,
+        source: &'a str,
+        request: &'a str,
+        age_ms: u128,
+    },
     /// The VM's endpoint became suspect, declining or clean.
     Standing { endpoint: &'a str, standing: EndpointStanding, request: &'a str, why: &'a str },
     /// Slot time of the endpoint by use since the process started, in milliseconds.
--- a/src/proxy/guard/announcements.rs
+++ b/src/proxy/guard/announcements.rs
@@ -9,6 +9,7 @@
 use crate::{
     decide::{
         incarnation::{self, AnnouncementClass, DEAD_AFTER_HEARTBEATS, EndpointId, KnownIncarnation, is_retired},
+        rate_limit::EndpointLimit,
         suspicion::StandingTracker,
     },
     proxy::{
@@ -118,6 +119,7 @@
             standing_tracker: StandingTracker::default(),
             last_seen: now,
             warmup_until,
+            limit: EndpointLimit::default(),
         };
         if let Some(previous) = state.endpoint.replace(next) {
             retire_incarnation(&mut state, previous.announcement.id);
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -6,6 +6,7 @@
 mod announcements;
 mod calls;
 pub mod ledger;
+mod notices;
 pub(super) mod quarantine;
 mod reservations;
 mod runs;
@@ -26,6 +27,7 @@
         incarnation::EndpointId,
         origin::OriginTracker,
         quarantine::Quarantine,
+        rate_limit::EndpointLimit,
         service_times::ServiceTimes,
         slot_time::{SlotOccupancy, SlotTime, SlotUse},
         suspicion::{EndpointStanding, StandingTracker},
@@ -118,6 +120,7 @@
     standing_tracker: StandingTracker,
     last_seen: Instant,
     warmup_until: Instant,
+    limit: EndpointLimit,
 }
 
 impl Endpoint {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -138,7 +138,7 @@
             time_left,
         };
         let start = clock::now();
-        let exchange = pool.run(req);
+        let exchange = pool.run(req, |it| self.handle_notice(&grant.endpoint, it, &request_id, start));
         tokio::pin!(exchange);
         let end = 'end: {
             for (after, sample, why) in thresholds.in_order() {
