Failing tests: limits and leaving that endpoints state in their answers

On this code an endpoint with a limit of 1 a second got 331 requests in 4 s (11 allowed), one that said it was leaving 260 requests sent more than two seconds after a proxy had passed that on. A limit line is written once, nothing restarts, and the rate does not change: nobody reads the limit.

--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -58,6 +58,8 @@
     pub request_id: String,
     /// Method and target, separated by a space.
     pub method_and_target: String,
+    /// Id of the incarnation at which it arrived.
+    pub instance: String,
     /// Value of `X-Caller-Service`.
     pub caller: String,
     /// Value of `X-Deadline-Ms`, in milliseconds; 0 if it is missing.
@@ -82,6 +84,19 @@
     down_for: Duration,
 }
 
+/// A period in which an incarnation named a limit in its answers.
+#[derive(Debug, Clone)]
+pub struct NamedLimit {
+    /// Id of the incarnation.
+    pub instance: String,
+    /// Requests a second.
+    pub per_second: f64,
+    /// When it began to name the limit.
+    pub from: Instant,
+    /// When it stopped; `None` while it still does.
+    pub to: Option<Instant>,
+}
+
 struct State {
     mode: EndpointMode,
     crash: Option<Crash>,
@@ -97,11 +112,30 @@
     /// Start time of this incarnation, in Unix milliseconds.
     started_at: u64,
     draining: bool,
+    /// Value of `Server-Limit` in its answers.
+    limit: Option<String>,
+    named_limits: Vec<NamedLimit>,
+    /// Whether its answers have `Server-Leaving`.
+    leaving: bool,
     arrivals: Vec<Arrival>,
     running: u32,
     max_running: u32,
 }
 
+impl State {
+    fn name_limit(&mut self, value: Option<&str>) {
+        let now = Instant::now();
+        if let Some(it) = self.named_limits.last_mut() {
+            it.to.get_or_insert(now);
+        }
+        self.limit = value.map(str::to_owned);
+        if let Some(per_second) = value.and_then(|it| it.parse().ok()) {
+            let instance = self.instance.clone();
+            self.named_limits.push(NamedLimit { instance, per_second, from: now, to: None });
+        }
+    }
+}
+
 /// One endpoint; it runs until the process ends. Clones share its state.
 #[derive(Clone)]
 pub struct Endpoint {
@@ -130,6 +164,9 @@
             instance: instance.into(),
             started_at: unix_millis(),
             draining: false,
+            limit: None,
+            named_limits: Vec::new(),
+            leaving: false,
             arrivals: Vec::new(),
             running: 0,
             max_running: 0,
@@ -221,6 +258,8 @@
     /// Starts a new incarnation with id `instance` at the same address; open connections stay.
     pub fn replace(&self, instance: &str) {
         let mut state = self.lock();
+        state.name_limit(None);
+        state.leaving = false;
         state.instance = instance.into();
         state.started_at = unix_millis().max(state.started_at + 1);
         state.draining = false;
@@ -234,6 +273,21 @@
         self.replace(&instance);
     }
 
+    /// Sets the value of `Server-Limit` in all answers from now on, valid or not; `None` leaves the header out.
+    pub fn set_limit(&self, value: Option<&str>) {
+        self.lock().name_limit(value);
+    }
+
+    /// The limits that it has named so far, malformed ones left out.
+    pub fn named_limits(&self) -> Vec<NamedLimit> {
+        self.lock().named_limits.clone()
+    }
+
+    /// From now on all answers of the incarnation have `Server-Leaving`. Its heartbeats still say that it is ready.
+    pub fn leave_by_answers(&self) {
+        self.lock().leaving = true;
+    }
+
     /// Id of the current incarnation and its start time in Unix milliseconds.
     pub fn incarnation(&self) -> (String, u64) {
         let state = self.lock();
@@ -307,7 +361,7 @@
                 let status = if self.lock().draining { 503 } else { 200 };
                 let load = format!("0,0,{}", self.slots);
                 let headers = [("X-Instance-Id", &*instance), ("X-Server-Load", &*load)];
-                if writer.write_all(&http::encode(&format!("HTTP/1.1 {status} x"), &headers, b"")).is_err() {
+                if writer.write_all(&self.encode(&format!("HTTP/1.1 {status} x"), &headers, b"")).is_err() {
                     return;
                 }
                 continue;
@@ -336,10 +390,10 @@
             return false;
         }
         if is_for_other_instance {
-            return writer.write_all(&http::encode("HTTP/1.1 421 x", &[("X-Instance-Id", &instance)], b"")).is_ok();
+            return writer.write_all(&self.encode("HTTP/1.1 421 x", &[("X-Instance-Id", &instance)], b"")).is_ok();
         }
         if sheds {
-            return writer.write_all(&http::encode("HTTP/1.1 503 x", &[("X-Not-Executed", "1")], b"")).is_ok();
+            return writer.write_all(&self.encode("HTTP/1.1 503 x", &[("X-Not-Executed", "1")], b"")).is_ok();
         }
         if mode != EndpointMode::FailsFast {
             let work_time = if mode == EndpointMode::Hangs { Duration::from_secs(20) } else { work_time };
@@ -350,11 +404,11 @@
         let seal = format!("seal-{id}");
         let headers = [("X-Request-Id", &*id), ("X-Response-Seal", &*seal)];
         let body = format!("{} {id}", self.service).into_bytes();
-        let complete = http::encode("HTTP/1.1 200 x", &headers, &body);
+        let complete = self.encode("HTTP/1.1 200 x", &headers, &body);
         match mode {
             EndpointMode::Good => writer.write_all(&complete).is_ok(),
             EndpointMode::FailsFast | EndpointMode::FailsSlowly => {
-                writer.write_all(&http::encode("HTTP/1.1 500 x", &headers, b"failed")).is_ok()
+                writer.write_all(&self.encode("HTTP/1.1 500 x", &headers, b"failed")).is_ok()
             }
             EndpointMode::Resets => {
                 // Makes the close of the connection send RST and discard unsent bytes.
@@ -367,10 +421,10 @@
             }
             EndpointMode::AnswersAnother => {
                 let headers = [("X-Request-Id", "another"), ("X-Response-Seal", "another")];
-                writer.write_all(&http::encode("HTTP/1.1 200 x", &headers, b"another's")).is_ok()
+                writer.write_all(&self.encode("HTTP/1.1 200 x", &headers, b"another's")).is_ok()
             }
             EndpointMode::Unsealed => {
-                writer.write_all(&http::encode("HTTP/1.1 200 x", &[("X-Request-Id", &id)], &body)).is_ok()
+                writer.write_all(&self.encode("HTTP/1.1 200 x", &[("X-Request-Id", &id)], &body)).is_ok()
             }
             EndpointMode::SaysMore => writer.write_all(&[complete.clone(), complete].concat()).is_ok(),
             EndpointMode::Unframed => {
@@ -384,13 +438,24 @@
         }
     }
 
+    /// Encodes an answer and adds what the endpoint states about itself.
+    fn encode(&self, start_line: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+        let state = self.lock();
+        let limit = state.limit.as_deref().map(|it| ("Server-Limit", it));
+        let leaving = state.leaving.then_some(("Server-Leaving", "1"));
+        let headers: Vec<_> = headers.iter().copied().chain(limit).chain(leaving).collect();
+        http::encode(start_line, &headers, body)
+    }
+
     /// Records an arrival and returns its index.
     fn record_arrival(&self, req: &Message, ran: bool) -> usize {
         let header = |name| req.header(name).unwrap_or("").to_owned();
         let mut state = self.lock();
+        let instance = state.instance.clone();
         state.arrivals.push(Arrival {
             request_id: header("x-request-id"),
             method_and_target: req.start_line.trim_end_matches(" HTTP/1.1").to_owned(),
+            instance,
             caller: header("x-caller-service"),
             deadline_ms: header("x-deadline-ms").parse().unwrap_or(0),
             body: req.body.clone(),
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod endpoint;
+pub mod endpoint_rules;
 pub mod fixtures;
 pub mod http;
 pub mod site;
--- a/standins/src/platform/soak/promises/tests.rs
+++ b/standins/src/platform/soak/promises/tests.rs
@@ -18,6 +18,7 @@
     Arrival {
         request_id: "a-1".to_owned(),
         method_and_target: "POST /write/1".to_owned(),
+        instance: "i-1".into(),
         caller: "desk".to_owned(),
         deadline_ms: 2_000,
         body: b"a-1".to_vec(),
