--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -1,17 +1,19 @@
 //! Decides in which order an ingress asks the endpoints of a service, so that bytes stay in the data centre where
 //! possible and requests stay away from full and failing endpoints.
 
+use std::time::Duration;
+
 use rand::{Rng, RngExt as _};
 
-use super::suspicion::EndpointStanding;
+use super::{rate_limit::RequestRate, suspicion::EndpointStanding};
 
 /// How much higher the load of an endpoint in the same data centre may be, as a share of its slots, before one in
 /// another data centre is preferred: traffic between data centres is expensive.
 const REMOTE_PENALTY: f32 = 1.0;
 /// How much higher the load of a clean endpoint may be, as a share of its slots, before a declining one is preferred.
 const DECLINING_PENALTY: f32 = 0.5;
-/// Below this share of clean slots, declining endpoints take any request: the lost capacity outweighs the retries.
-const MIN_CLEAN_SHARE: f64 = 0.5;
+/// Below this share of clean capacity, declining endpoints take any request: the lost capacity outweighs the retries.
+const MIN_CLEAN_SHARE: f32 = 0.5;
 /// Random part of a score; ingresses with the same view would otherwise choose the same endpoint.
 const SCORE_JITTER: f32 = 0.15;
 /// Probability that a request that may be a trial is sent to a suspect first.
@@ -35,6 +37,40 @@
     pub load: u32,
     /// How many requests it runs at once.
     pub slots: u32,
+    /// What its rate limit lets it do, if it has one.
+    pub limit: Option<RateBound>,
+}
+
+/// What a rate limit lets an endpoint do, for requests of one class.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateBound {
+    /// The mean number of requests that it runs at once at its limit.
+    concurrency: f32,
+    /// The time until a request may start, as a multiple of the mean service time.
+    start_delay: f32,
+}
+
+impl RateBound {
+    /// The effect of the limit `rate`, with which a request may start after `start_delay`, on requests with this mean
+    /// service time; `None` if it is unknown.
+    pub fn new(rate: RequestRate, start_delay: Duration, mean_time: Option<Duration>) -> Self {
+        /// Assumed for a class whose service time is unknown.
+        const DEFAULT_TIME: Duration = Duration::from_millis(500);
+        /// Keeps the multiple finite.
+        const MIN_TIME: Duration = Duration::from_millis(1);
+        let mean_time = mean_time.unwrap_or(DEFAULT_TIME).max(MIN_TIME);
+        Self {
+            concurrency: (f64::from(rate) * mean_time.as_secs_f64()) as f32,
+            start_delay: start_delay.div_duration_f32(mean_time),
+        }
+    }
+}
+
+impl PlacementCandidate {
+    /// The number of requests that it can run at once, on average.
+    fn capacity(&self) -> f32 {
+        self.limit.map_or(self.slots as f32, |it| it.concurrency.min(self.slots as f32))
+    }
 }
 
 /// The order in which to ask the candidates.
@@ -68,15 +104,17 @@
     CandidateRanking { ranked, worst_accepted }
 }
 
-/// The worst standing that takes any request, so that enough of the service's slots stay in use.
+/// The worst standing that takes any request, so that enough of the service's capacity stays in use.
 fn worst_accepted_standing(candidates: &[PlacementCandidate]) -> EndpointStanding {
-    let slots = |standing: EndpointStanding| -> u32 {
-        candidates.iter().filter(|it| it.standing == standing && !it.path_backing_off).map(|it| it.slots).sum()
+    let of_standing = |standing: EndpointStanding| {
+        candidates.iter().filter(move |it| it.standing == standing && !it.path_backing_off)
     };
-    let (clean, declining) = (slots(EndpointStanding::Clean), slots(EndpointStanding::Declining));
-    if clean + declining == 0 {
+    let capacity = |standing| of_standing(standing).map(PlacementCandidate::capacity).sum::<f32>();
+    let any_slot = |standing| of_standing(standing).any(|it| it.slots > 0);
+    let (clean, declining) = (capacity(EndpointStanding::Clean), capacity(EndpointStanding::Declining));
+    if !any_slot(EndpointStanding::Clean) && !any_slot(EndpointStanding::Declining) {
         EndpointStanding::Suspect
-    } else if f64::from(clean) < f64::from(clean + declining) * MIN_CLEAN_SHARE {
+    } else if clean < (clean + declining) * MIN_CLEAN_SHARE {
         EndpointStanding::Declining
     } else {
         EndpointStanding::Clean
@@ -107,5 +145,8 @@
     };
     let path = if candidate.path_backing_off { 4.0 * TIER } else { 0.0 };
     let remote = if candidate.same_data_centre { 0.0 } else { REMOTE_PENALTY };
-    standing + path + remote + candidate.load as f32 / candidate.slots.max(1) as f32
+    let load = candidate.load as f32 / candidate.slots.max(1) as f32;
+    // An endpoint that may start no request for a while is like one with a queue as long.
+    let queue = candidate.limit.filter(|it| it.start_delay > 0.0).map_or(0.0, |it| 1.0 + it.start_delay);
+    standing + path + remote + load.max(queue.min(TIER / 2.0))
 }
--- a/src/decide/slot_time.rs
+++ b/src/decide/slot_time.rs
@@ -28,11 +28,13 @@
     Cold,
     /// Free, while no request was waiting here.
     Idle,
+    /// Free, while the endpoint's rate limit let no request start.
+    Limited,
 }
 
 impl SlotUse {
     /// All uses, in the order of their totals.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Answered,
         Self::Failed,
         Self::CallFailed,
@@ -43,6 +45,7 @@
         Self::Distrusted,
         Self::Cold,
         Self::Idle,
+        Self::Limited,
     ];
 
     /// The label in events and metrics.
@@ -58,6 +61,7 @@
             Self::Distrusted => "distrusted",
             Self::Cold => "cold",
             Self::Idle => "idle",
+            Self::Limited => "limited",
         }
     }
 }
@@ -77,11 +81,16 @@
     pub standing: EndpointStanding,
     /// Whether requests wait here for a slot.
     pub has_waiters: bool,
+    /// Whether the endpoint's rate limit lets no request start.
+    pub rate_limited: bool,
 }
 
 impl SlotOccupancy {
     /// The use that free slots count as.
     fn free_use(&self) -> SlotUse {
+        if self.rate_limited {
+            return SlotUse::Limited;
+        }
         match (self.standing, self.has_waiters) {
             (EndpointStanding::Suspect | EndpointStanding::Declining, _) => SlotUse::Distrusted,
             (EndpointStanding::Clean, true) => SlotUse::Blocked,
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -2,7 +2,7 @@
 //! be in time, oldest first. A first-come queue would make all requests late together under overload. A small share
 //! of the slots goes to less urgent requests, so that none starves.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{fingerprint::Fingerprint, guard_retry_budget::Retry, suspicion::EndpointStanding};
 
@@ -101,6 +101,29 @@
         Some(self.waiters.remove(at))
     }
 
+    /// Removes and returns a waiter that would start too late if `delay(n)` is the time until the n-th of the waiters may
+    /// start.
+    pub fn remove_too_late(&mut self, now: Instant, delay: impl Fn(usize) -> Duration) -> Option<Waiter> {
+        let mut order: Vec<usize> = (0..self.waiters.len()).collect();
+        order.sort_by_key(|it| start_order(&self.waiters[*it], now));
+        let first = &self.waiters[*order.first()?];
+        let mut less_urgent_before = 0;
+        let too_late = order.iter().enumerate().find(|(position, at)| {
+            let waiter = &self.waiters[**at];
+            let mut starts = position + 1;
+            if !first.is_nested_call && !waiter.is_nested_call && waiter.rank > first.rank {
+                // Less urgent waiters get every ninth slot.
+                let until_turn = URGENT_IN_A_ROW.saturating_sub(self.urgent_in_a_row) as usize + 1;
+                starts = starts.min(until_turn + less_urgent_before * (URGENT_IN_A_ROW as usize + 1));
+                less_urgent_before += 1;
+            }
+            let delay = delay(starts);
+            !delay.is_zero() && now + delay > waiter.latest_start
+        });
+        let (_, at) = too_late?;
+        Some(self.waiters.remove(*at))
+    }
+
     /// Removes and returns the oldest waiter for which `matches` returns true.
     pub fn remove_first(&mut self, matches: impl Fn(&Waiter) -> bool) -> Option<Waiter> {
         let at = self.waiters.iter().position(matches)?;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -98,10 +98,10 @@
 pub fn limit_statement(headers: &HeaderMap) -> LimitStatement {
     let mut lowest: Option<RequestRate> = None;
     for value in headers.get_all(SERVER_LIMIT) {
-        let Ok(text) = value.to_str() else { return LimitStatement::Malformed };
+        let Ok(text) = value.to_str() else { return LimitStatement::Unknown };
         for number in text.split(',') {
             let rate = number.trim().parse().ok().and_then(|it: f64| RequestRate::try_from(it).ok());
-            let Some(rate) = rate else { return LimitStatement::Malformed };
+            let Some(rate) = rate else { return LimitStatement::Unknown };
             lowest = Some(lowest.map_or(rate, |it| if rate < it { rate } else { it }));
         }
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,7 +16,7 @@
     caller_service, deadline, endpoint_load, expected_instance, has_response_seal, instance_id, is_leaving,
     limit_statement, not_executed, request_id, retry_after, set_caller_service, set_deadline, set_expected_instance,
 };
-pub use health::probe_health;
+pub use health::{HealthReply, probe_health};
 pub use objects::{Listing, PresenceObject, QuarantineObject, SkippedObject, TrialClaim};
 pub use store::{ConfigSnapshot, Consistency, Era, Store, StoreFailure, WatchEnd, WatchPosition};
 
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -9,9 +9,9 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::{
-    decide::incarnation::EndpointId,
+    decide::{incarnation::EndpointId, rate_limit::HEALTH_CHECK_INTERVAL},
     error::Error,
-    platform::{self, AnnounceCall},
+    platform::{self, AnnounceCall, HealthReply},
     proxy::{
         Proxy, client, clock,
         directory::Row,
@@ -84,6 +84,7 @@
         spawn_local(Rc::clone(self).announce_versions());
         spawn_local(Rc::clone(self).gossip_crash_records());
         spawn_local(Rc::clone(self).discover_endpoint());
+        spawn_local(Rc::clone(self).check_low_limit());
         spawn_local(Rc::clone(self).log_slot_times());
     }
 
@@ -135,6 +136,7 @@
         row["version"] = self.version().into();
         if let Some(it) = self.guard.serving_endpoint() {
             row["endpoint"]["standing"] = serde_json::json!(it.standing);
+            row["endpoint"]["limit"] = serde_json::json!(self.guard.limit().map(|it| it.0));
         }
         let status = serde_json::json!({
             "row": row,
@@ -165,8 +167,10 @@
         let settings = Rc::clone(&self.settings.borrow());
         let config = self.config.borrow().clone();
         let path = config.as_ref().and_then(|it| it.health_path(&settings.service));
+        let sent = clock::now();
         let health = platform::probe_health(settings.endpoint, path, HEALTH_TIMEOUT).await;
-        let Some((id, slots)) = health else { return };
+        let Some(HealthReply { id, slots, limit }) = health else { return };
+        let name = id.clone();
         self.guard.handle_health_reply(Announcement {
             id: EndpointId { name: id, started_at: None },
             service: settings.service.clone(),
@@ -176,6 +180,17 @@
             warmup_left: Duration::ZERO,
             sequence: 0,
         });
+        self.guard.handle_health_notice(&name, limit, sent);
+    }
+
+    /// Checks the endpoint's health at intervals while its limit is too low to learn its end from answers. Never returns.
+    async fn check_low_limit(self: Rc<Self>) {
+        loop {
+            sleep(HEALTH_CHECK_INTERVAL).await;
+            if self.guard.needs_health_check() {
+                self.check_endpoint_health().await;
+            }
+        }
     }
 }
 
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    decide::{incarnation::EndpointId, suspicion::EndpointStanding},
+    decide::{incarnation::EndpointId, rate_limit::LimitStatement, suspicion::EndpointStanding},
     platform::PresenceObject,
     proxy::routes::{ServiceName, Version},
     rows::{
@@ -41,15 +41,18 @@
 pub type Row = rows::Row<GuardedService>;
 
 /// The part of a proxy's state that changes often; sent only to linked proxies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ProxyStatus {
     /// The active configuration version; 0 for none.
     pub version: Version,
-    /// Counts the changes of the endpoint and its standing since the process started.
+    /// Counts the changes of the endpoint, its standing and its limit since the process started.
     #[serde(rename = "turns")]
     pub revision: u64,
     /// The standing of the endpoint, if there is one.
     pub standing: EndpointStanding,
+    /// The rate limit that the endpoint states in its answers.
+    #[serde(default)]
+    pub limit: LimitStatement,
 }
 
 /// A [`ProxyStatus`] with the name of its proxy.
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -84,7 +84,7 @@
         }
         let limit = match platform::limit_statement(headers) {
             // Whatever rejects requests for the endpoint may not know its limit.
-            LimitStatement::None if not_executed => LimitStatement::Malformed,
+            LimitStatement::None if not_executed => LimitStatement::Unknown,
             it => it,
         };
         Some(Self { limit, leaving: platform::is_leaving(headers) })
--- /dev/null
+++ b/src/proxy/endpoint_reports.rs
@@ -0,0 +1,95 @@
+//! What the endpoints of other proxies said about themselves in answers that this proxy passed on.
+//!
+//! A guard that restarts forgets its endpoint's limit, but the proxies that passed the limit on are still bound by it. So
+//! each of them reports it with its next reservation, before the guard issues a grant.
+
+use std::time::Instant;
+
+use crate::{
+    decide::{incarnation::EndpointId, rate_limit::LimitStatement},
+    proxy::{Proxy, clock, directory::ProxyName, message::EndpointReport},
+};
+
+/// A report whose age grows.
+#[derive(Debug, Clone)]
+struct AgingReport {
+    report: EndpointReport,
+    learnt_at: Instant,
+}
+
+/// The last report about the endpoint of each proxy, for endpoints that said anything.
+#[derive(Debug, Default)]
+pub(super) struct EndpointReports {
+    /// Sorted by proxy.
+    reports: Vec<(ProxyName, AgingReport)>,
+}
+
+impl EndpointReports {
+    /// Records what an answer of `endpoint`, on the VM of the proxy `name`, states. `listed` is the endpoint of that proxy
+    /// by the directory: an answer of a former one does not replace what the listed one said.
+    pub(super) fn record_answer(
+        &mut self,
+        name: &str,
+        endpoint: &EndpointId,
+        limit: LimitStatement,
+        listed: Option<&EndpointId>,
+        now: Instant,
+    ) {
+        // Whether a limit has ended is for the guard to say, which sees all answers in their order.
+        let LimitStatement::Limit(rate) = limit else { return };
+        let report = EndpointReport { endpoint: endpoint.clone(), limit: Some(rate), age: Default::default() };
+        let next = AgingReport { report, learnt_at: now };
+        match self.position(name) {
+            Err(at) => self.reports.insert(at, (name.into(), next)),
+            Ok(at) => {
+                let known = &mut self.reports[at].1;
+                if known.report.endpoint == *endpoint {
+                    known.report.limit.get_or_insert(rate);
+                } else if listed != Some(&known.report.endpoint) {
+                    *known = next;
+                }
+            }
+        }
+    }
+
+    /// Applies what the guard `name` says about its endpoint's limit, if it passed on a limit before.
+    pub(super) fn update_limit(&mut self, name: &str, limit: LimitStatement) {
+        let Ok(at) = self.position(name) else { return };
+        let known = &mut self.reports[at].1.report;
+        match limit {
+            LimitStatement::Unknown => (),
+            LimitStatement::None => known.limit = None,
+            LimitStatement::Limit(rate) => known.limit = known.limit.map(|_| rate),
+        }
+    }
+
+    /// The report to send to the proxy `name`.
+    pub(super) fn get(&self, name: &str, now: Instant) -> Option<EndpointReport> {
+        let it = &self.reports[self.position(name).ok()?].1;
+        it.report.limit?;
+        Some(EndpointReport { age: now.saturating_duration_since(it.learnt_at), ..it.report.clone() })
+    }
+
+    /// Removes the reports about the endpoints of proxies for which `keep` is false.
+    pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.reports.retain(|it| keep(&it.0));
+    }
+
+    fn position(&self, name: &str) -> Result<usize, usize> {
+        self.reports.binary_search_by(|it| (*it.0).cmp(name))
+    }
+}
+
+impl Proxy {
+    /// The report about the endpoint on the VM of the proxy `name`.
+    pub(super) fn endpoint_report(&self, name: &str) -> Option<EndpointReport> {
+        self.endpoint_reports.borrow().get(name, clock::now())
+    }
+
+    /// Records what an answer that is about to be passed on states about its endpoint, on the VM of the proxy `name`.
+    pub(super) fn record_passed_on(&self, name: &str, endpoint: &EndpointId, limit: LimitStatement) {
+        let directory = self.directory.borrow();
+        let listed = directory.get(name).and_then(|it| it.endpoints.endpoint.as_ref()).map(|it| &it.id);
+        self.endpoint_reports.borrow_mut().record_answer(name, endpoint, limit, listed, clock::now());
+    }
+}
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip between proxies: status updates, directory rows and new configuration versions.
 //!
-//! A proxy sends changes of its endpoint and the endpoint's standing to its linked peers. Rows of other proxies spread
+//! A proxy sends changes of its endpoint, the endpoint's standing and its limit to its linked peers. Rows of other proxies spread
 //! by an anti-entropy exchange with one peer a second; only this traffic grows with the fleet.
 
 use std::{rc::Rc, time::Duration};
@@ -44,7 +44,12 @@
 impl Proxy {
     /// This proxy's status.
     fn proxy_status(&self) -> ProxyStatus {
-        ProxyStatus { version: self.version(), revision: self.endpoint_changes.get(), standing: self.guard.standing() }
+        ProxyStatus {
+            version: self.version(),
+            revision: self.endpoint_changes.get(),
+            standing: self.guard.standing(),
+            limit: self.guard.limit_statement(),
+        }
     }
 
     /// This proxy's status with its name and stamp.
@@ -62,9 +67,9 @@
 
     /// Applies the status and load that a guard sent with a reply.
     pub(super) fn apply_guard_report(self: &Rc<Self>, report: GuardReport) {
-        let GuardReport { update, running, waiting, retry_budget_exhausted } = report;
+        let GuardReport { update, running, waiting, retry_budget_exhausted, start_delay } = report;
         if let Some(link) = self.link(&update.name) {
-            link.record_load(running + waiting, clock::now());
+            link.record_load(running + waiting, start_delay, clock::now());
             let service = self.directory.borrow().get_by_key(link.key).map(|it| it.endpoints.service.clone());
             if let Some(it) = service {
                 self.note_retry_budget(&it, retry_budget_exhausted);
@@ -85,7 +90,11 @@
     }
 
     fn apply_status(self: &Rc<Self>, name: &str, link: &Rc<Link>, stamp: Stamp, status: ProxyStatus) {
-        if link.update_standing(stamp, status) {
+        let standing = link.standing();
+        if link.update_status(stamp, status) {
+            self.endpoint_reports.borrow_mut().update_limit(name, status.limit);
+        }
+        if link.standing() != standing {
             self.events.emit(&Event::Row {
                 peer: name,
                 sequence: stamp.sequence,
@@ -128,14 +137,19 @@
         self.members_changed.notify_one();
     }
 
-    /// Sends a hello at once, then hellos and status updates as requested on `link`. Never returns.
-    pub(super) async fn send_updates(self: &Rc<Self>, link: &Rc<Link>) {
+    /// Sends a hello at once, then hellos and status updates as requested on `link`, to the proxy `name`. Never returns.
+    pub(super) async fn send_updates(self: &Rc<Self>, name: &str, link: &Rc<Link>) {
         link.request_hello();
         loop {
             let sends_hello = link.wait_for_request().await;
             sleep(COALESCE_DELAY).await;
             if sends_hello {
-                let hello = Hello { row: self.row(), status: self.proxy_status(), selected: link.selected.get() };
+                let hello = Hello {
+                    row: self.row(),
+                    status: self.proxy_status(),
+                    selected: link.selected.get(),
+                    endpoint_report: self.endpoint_report(name),
+                };
                 if let Some(it) = link.call_within::<_, HelloResponse>(PEER_CALL_TIMEOUT, path::HELLO, &hello).await {
                     self.apply_hello_response(link, it);
                 }
@@ -155,7 +169,10 @@
 
     /// Responds to a hello, and opens a link back if the peer selected this proxy.
     pub(super) fn answer_hello(self: &Rc<Self>, hello: Hello) -> HelloResponse {
-        let Hello { row, status, selected } = hello;
+        let Hello { row, status, selected, endpoint_report } = hello;
+        if let Some(it) = endpoint_report {
+            self.guard.apply_endpoint_report(&it);
+        }
         let (name, stamp) = (row.name.clone(), row.stamp);
         if selected {
             self.ensure_link(&row).selected_by_peer.set(true);
@@ -200,6 +217,7 @@
             let pause = if is_initial { INITIAL_EXCHANGE_INTERVAL } else { EXCHANGE_INTERVAL };
             sleep(pause.mul_f64(rand::rng().random_range(0.7..1.3))).await;
             self.directory.borrow_mut().remove_expired(clock::now());
+            self.endpoint_reports.borrow_mut().retain(|it| self.directory.borrow().get(it).is_some());
             self.guard.remove_expired_crash_records();
             if rand::rng().random_bool(DOWN_EXCHANGE_FRACTION) {
                 self.exchange_with_down_proxy().await;
--- a/src/proxy/guard/announcements.rs
+++ b/src/proxy/guard/announcements.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, time::Instant};
 
-use super::{Announcement, AnnouncementEffect, Endpoint, EndpointPhase, Guard, GuardState};
+use super::{Announcement, AnnouncementEffect, Endpoint, EndpointPhase, Guard, GuardState, notices};
 use crate::{
     decide::{
         incarnation::{self, AnnouncementClass, DEAD_AFTER_HEARTBEATS, EndpointId, KnownIncarnation, is_retired},
@@ -128,6 +128,7 @@
             }
         }
         drop(state);
+        notices::set_limit_gauges(None);
         self.row_changed.notify_one();
         self.issue_grants();
     }
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -71,6 +71,11 @@
 }
 
 impl GrantEntry {
+    /// The incarnation of the endpoint that the grant is for.
+    pub fn endpoint(&self) -> &EndpointId {
+        &self.endpoint
+    }
+
     /// The grant's id, route and run, if the grant is in use.
     pub fn as_active_run(&self) -> Option<(GrantId, &str, &ActiveRun)> {
         Some((self.id, &*self.work.route, self.active_run.as_ref()?))
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -167,6 +167,8 @@
     slot_time: SlotTime,
     /// The id of the last waiter.
     last_waiter_id: WaiterId,
+    /// When grants will be issued again because the endpoint's limit then lets a request start.
+    next_wake: Option<Instant>,
 }
 
 impl GuardState {
@@ -185,6 +187,7 @@
             running,
             standing: it.standing_tracker.standing(),
             has_waiters: !self.queue.is_empty(),
+            rate_limited: !it.limit.allows(now),
         });
         self.slot_time.advance(next, now);
     }
@@ -234,6 +237,7 @@
                 work_deadline: None,
                 slot_time: SlotTime::default(),
                 last_waiter_id: 0,
+                next_wake: None,
             }),
             run_ended: Notify::new(),
             row_changed: Notify::new(),
--- a/src/proxy/guard/reservations.rs
+++ b/src/proxy/guard/reservations.rs
@@ -36,6 +36,9 @@
         context: ReservationContext,
     ) -> Result<Grant, GrantRefusal> {
         self.merge_crash_record(req.fingerprint, req.crash_record);
+        if let Some(it) = &req.endpoint_report {
+            self.apply_endpoint_report(it);
+        }
         let (tx, rx) = oneshot::channel();
         let id = self.state.borrow_mut().enqueue(req, context, tx, clock::now())?;
         let mut pending = PendingReservation { guard: self, id, rx };
@@ -58,6 +61,7 @@
         for id in issued {
             self.revoke_if_unused(id);
         }
+        self.wake_when_limit_allows();
     }
 
     /// Revokes a grant that is still unused after `GRANT_TTL`.
@@ -141,7 +145,7 @@
         } = self;
         let endpoint = endpoint.as_mut().filter(|it| it.announcement.phase == EndpointPhase::Serving)?;
         let usable_slots = endpoint.usable_slots(now);
-        while saturating_u32(ledger.len()) < usable_slots {
+        while saturating_u32(ledger.len()) < usable_slots && endpoint.limit.allows(now) {
             let endpoint_trials = saturating_u32(ledger.endpoint_trials());
             let has_suspect_request =
                 ledger.granted_work().any(|it| quarantine.crash_record(it.fingerprint).is_suspect());
@@ -171,6 +175,7 @@
                 continue;
             }
             endpoint.standing_tracker.record_start(now);
+            endpoint.limit.record_start(now);
             retry_budget.record_arrival(waiter.retry_share);
             return Some(id);
         }
@@ -197,8 +202,18 @@
             Some(_) if it.is_retry && !retry_budget.allows(it.retry(), now) => Some(GrantRefusal::RetryBudgetExhausted),
             Some(_) => None,
         };
+        let mut refused = Vec::new();
         while let Some(waiter) = queue.remove_first(|it| refusal(it).is_some()) {
             let reason = refusal(&waiter).expect("the waiter was removed because it has a refusal");
+            refused.push((waiter, reason));
+        }
+        if let Some(endpoint) = serving {
+            while let Some(waiter) = queue.remove_too_late(now, |starts| endpoint.limit.delay(starts, now)) {
+                metrics::counter!("jayreach_rate_limit_refusals_total").increment(1);
+                refused.push((waiter, GrantRefusal::RateLimited));
+            }
+        }
+        for (waiter, reason) in refused {
             if let Some(at) = grant_senders.iter().position(|it| it.0 == waiter.id) {
                 // The ingress may have dropped the receiver.
                 _ = grant_senders.swap_remove(at).1.send(Err(reason));
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -240,6 +240,9 @@
         }
         if unused {
             state.retry_budget.undo_arrival(entry.work.retry_share);
+            if let Some(it) = state.endpoint.as_mut().filter(|it| it.announcement.id == *entry.endpoint()) {
+                it.limit.undo_start(now);
+            }
         }
         if may_still_run {
             state.keep_unfinished(entry, now);
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -51,7 +51,8 @@
             let (reservation, end, took) = self.run_attempt(req, reservation, &mut tried).await;
             match end {
                 RunEnd::Answered { status, content, took } => {
-                    let outcome = RequestOutcome::Endpoint { status, content };
+                    let Reservation { guard, grant } = reservation.clone();
+                    let outcome = RequestOutcome::Endpoint { status, content, guard, endpoint: grant.endpoint };
                     if status < 500 {
                         self.ingress.borrow_mut().service_times.record(&req.route().name, took);
                         return outcome;
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     decide::{
-        fingerprint::Fingerprint, origin::RequestOrigin, service_times::ServiceTimes,
+        fingerprint::Fingerprint, incarnation::EndpointId, origin::RequestOrigin, service_times::ServiceTimes,
         weighted_round_robin::WeightedRoundRobin,
     },
     platform,
@@ -138,12 +138,14 @@
     NoCapacity,
     /// The request is quarantined because it crashes endpoints.
     Quarantined,
+    /// The endpoints' rate limits don't let it start in time; a request may start after this long.
+    RateLimited(Duration),
 }
 
 /// The result of a request, from which its response is made.
 enum RequestOutcome {
-    /// An endpoint answered.
-    Endpoint { status: u16, content: HttpContent },
+    /// An endpoint answered; its guard is the one of this proxy or of another one.
+    Endpoint { status: u16, content: HttpContent, guard: GuardRef, endpoint: EndpointId },
     /// The request did not run and never will.
     NotRun(ReserveFailure),
     /// The request may have run.
@@ -163,10 +165,10 @@
         close_if_stopping(&proxy, response(status, format!("{why}\n")))
     };
     let Some(config) = proxy.config.borrow().clone() else {
-        return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"), 0);
+        return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"), 0, Duration::ZERO);
     };
     if proxy.refuses_new_requests() {
-        return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0);
+        return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0, Duration::ZERO);
     }
     let host = head.headers.get(HOST).and_then(|it| it.to_str().ok()).or(head.uri.host());
     let Some(host) = host else { return rejected(StatusCode::BAD_REQUEST, "no host") };
@@ -180,6 +182,7 @@
         return with_retry_after(
             rejected(StatusCode::SERVICE_UNAVAILABLE, "the route's terms aren't understood"),
             route.rank,
+            Duration::ZERO,
         );
     }
     let route_index =
@@ -319,10 +322,17 @@
     /// Makes the response to a request and reports its result in events and metrics.
     fn respond(&self, req: &IngressRequest, request_outcome: RequestOutcome) -> FullResponse {
         let (resp, outcome) = match request_outcome {
-            RequestOutcome::Endpoint { status, content } => (endpoint_response(status, content), "answered"),
+            RequestOutcome::Endpoint { status, content, guard, endpoint } => {
+                (self.pass_on(status, content, &guard, &endpoint), "answered")
+            }
             RequestOutcome::NotRun(ReserveFailure::NoEndpoint) => (self.refuse(req, "no endpoint\n"), "no-endpoint"),
             RequestOutcome::NotRun(ReserveFailure::NoCapacity) => (self.refuse(req, "no free place in time\n"), "full"),
             RequestOutcome::NotRun(ReserveFailure::Quarantined) => (self.refuse_quarantined(req), "quarantined"),
+            RequestOutcome::NotRun(ReserveFailure::RateLimited(delay)) => {
+                let resp =
+                    response(StatusCode::SERVICE_UNAVAILABLE, "the endpoints' rate limits leave no room in time\n");
+                (with_retry_after(resp, req.route().rank, delay), "rate-limited")
+            }
             RequestOutcome::Unknown => (response(StatusCode::BAD_GATEWAY, "it may have run\n"), "unknown"),
             RequestOutcome::TimedOut => (response(StatusCode::GATEWAY_TIMEOUT, "out of time\n"), "timeout"),
         };
@@ -363,7 +373,19 @@
     }
 
     fn refuse(&self, req: &IngressRequest, why: &'static str) -> FullResponse {
-        with_retry_after(response(StatusCode::SERVICE_UNAVAILABLE, why), req.route().rank)
+        with_retry_after(response(StatusCode::SERVICE_UNAVAILABLE, why), req.route().rank, Duration::ZERO)
+    }
+
+    /// Makes the response from an endpoint's answer, and remembers what the answer states about the endpoint.
+    fn pass_on(&self, status: u16, content: HttpContent, guard: &GuardRef, endpoint: &EndpointId) -> FullResponse {
+        let mut resp = Response::new(Full::new(Bytes::new()));
+        *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        *resp.headers_mut() = content.headers();
+        *resp.body_mut() = Full::new(Bytes::from(content.body.into_vec()));
+        if let GuardRef::Remote(name, _) = guard {
+            self.record_passed_on(name, endpoint, platform::limit_statement(resp.headers()));
+        }
+        resp
     }
 }
 
@@ -398,18 +420,10 @@
     }
 }
 
-fn endpoint_response(status: u16, content: HttpContent) -> FullResponse {
-    let mut resp = Response::new(Full::new(Bytes::new()));
-    *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    *resp.headers_mut() = content.headers();
-    *resp.body_mut() = Full::new(Bytes::from(content.body.into_vec()));
-    resp
-}
-
-/// Adds `Retry-After` with jitter; lower ranks wait longer.
-fn with_retry_after(mut resp: FullResponse, rank: u32) -> FullResponse {
+/// Adds `Retry-After` with jitter, at least `delay`; lower ranks wait longer.
+fn with_retry_after(mut resp: FullResponse, rank: u32, delay: Duration) -> FullResponse {
     let jitter = 1.0 + rand::rng().random_range(-RETRY_AFTER_JITTER..RETRY_AFTER_JITTER);
-    let pause = RETRY_AFTER_BASE.mul_f64(jitter * f64::from(rank.min(4) + 1));
+    let pause = delay + RETRY_AFTER_BASE.mul_f64(jitter * f64::from(rank.min(4) + 1));
     let (name, value) = platform::retry_after(pause);
     resp.headers_mut().insert(name, value);
     resp
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -16,7 +16,8 @@
         incarnation::EndpointId,
         latest_start::{WorkTiming, latest_start},
         origin::RequestOrigin,
-        placement::{CandidateRanking, PlacementCandidate, rank_candidates},
+        placement::{CandidateRanking, PlacementCandidate, RateBound, rank_candidates},
+        rate_limit::{LimitStatement, RequestRate},
         suspicion::{self, EndpointStanding},
     },
     proxy::{
@@ -63,6 +64,29 @@
     ranking: CandidateRanking,
 }
 
+/// Why the guards refused one reservation.
+#[derive(Debug, Default)]
+struct Refusals {
+    /// The shortest time until a request may start at one of the endpoints whose rate limit doesn't let it start in time.
+    start_delay: Option<Duration>,
+    /// Whether a guard refused for another reason, which may have passed when it is asked again.
+    any_other: bool,
+}
+
+impl Refusals {
+    fn add(&mut self, reason: GrantRefusal, start_delay: Duration) {
+        if reason == GrantRefusal::RateLimited {
+            self.start_delay = Some(self.start_delay.map_or(start_delay, |it| it.min(start_delay)));
+        } else {
+            self.any_other = true;
+        }
+    }
+
+    fn failure(&self) -> ReserveFailure {
+        self.start_delay.map_or(ReserveFailure::NoCapacity, ReserveFailure::RateLimited)
+    }
+}
+
 impl Proxy {
     /// Waits for a grant for one of the service's endpoints, except those `tried` before.
     pub(super) async fn reserve_endpoint(
@@ -85,6 +109,7 @@
         /// If all guards refuse, the ranking may have been stale and is repeated; more rounds seldom help.
         const MAX_ROUNDS: u32 = 3;
         let start_deadline = self.start_deadline(req);
+        let mut failure = ReserveFailure::NoCapacity;
         self.note_service_needed(&req.service);
         for _ in 0..MAX_ROUNDS {
             let mut ranked = self.rank_endpoints(req, tried);
@@ -98,13 +123,14 @@
             }
             let left = start_deadline.saturating_duration_since(clock::now());
             match timeout(left, self.reserve_first(req, &ranked, start_deadline, start)).await {
-                Ok(Some(it)) => return Ok(it),
-                Ok(None) if self.is_quarantined(req) => return Err(ReserveFailure::Quarantined),
-                Ok(None) => (),
+                Ok(Ok(it)) => return Ok(it),
+                Ok(Err(_)) if self.is_quarantined(req) => return Err(ReserveFailure::Quarantined),
+                Ok(Err(it)) if !it.any_other => return Err(it.failure()),
+                Ok(Err(it)) => failure = it.failure(),
                 Err(_) => return Err(ReserveFailure::NoCapacity),
             }
         }
-        Err(ReserveFailure::NoCapacity)
+        Err(failure)
     }
 
     /// The latest time at which the request should start; waiting for a grant beyond it is useless.
@@ -124,13 +150,14 @@
     /// Ranks the reachable endpoints that could run the request, except those `tried` before.
     fn rank_endpoints(&self, req: &IngressRequest, tried: &[EndpointId]) -> RankedEndpoints {
         let local = self.guard.serving_endpoint().filter(|it| it.service == req.service && !tried.contains(&it.id));
-        let local = local.map(|it| self.local_endpoint(&it));
+        let mean_time = self.ingress.borrow().service_times.mean(&req.route().name);
+        let local = local.map(|it| self.local_endpoint(&it, mean_time));
         let directory = self.directory.borrow();
         let links = self.links.borrow();
         let remote = links.iter().filter_map(|(name, link)| {
             let served = &directory.get_by_key(link.key)?.endpoints;
             let endpoint = served.endpoint.as_ref().filter(|it| !tried.contains(&it.id))?;
-            (served.service == req.service).then(|| Self::remote_endpoint(name, link, endpoint))?
+            (served.service == req.service).then(|| self.remote_endpoint(name, link, endpoint, mean_time))?
         });
         let endpoints: Vec<ReachableEndpoint> = local.into_iter().chain(remote).collect();
         let candidates: Vec<PlacementCandidate> = endpoints.iter().map(|it| it.candidate).collect();
@@ -139,7 +166,7 @@
     }
 
     /// The endpoint of this VM.
-    fn local_endpoint(&self, endpoint: &ServingEndpoint) -> ReachableEndpoint {
+    fn local_endpoint(&self, endpoint: &ServingEndpoint, mean_time: Option<Duration>) -> ReachableEndpoint {
         let (running, waiting) = self.guard.load();
         let candidate = PlacementCandidate {
             same_data_centre: true,
@@ -147,25 +174,49 @@
             path_backing_off: false,
             load: running + waiting,
             slots: endpoint.slots,
+            limit: self.limit_at(&GuardRef::Local).map(|(rate, delay)| RateBound::new(rate, delay, mean_time)),
         };
         ReachableEndpoint { guard: GuardRef::Local, candidate, load_age: Duration::ZERO }
     }
 
     /// The endpoint of another VM, if its proxy is connected: a lost VM stays in the directory for a while.
-    fn remote_endpoint(name: &ProxyName, link: &Rc<Link>, endpoint: &EndpointRow) -> Option<ReachableEndpoint> {
+    fn remote_endpoint(
+        &self,
+        name: &ProxyName,
+        link: &Rc<Link>,
+        endpoint: &EndpointRow,
+        mean_time: Option<Duration>,
+    ) -> Option<ReachableEndpoint> {
         if !link.is_connected() {
             return None;
         }
         let now = clock::now();
+        let guard = GuardRef::Remote(name.clone(), Rc::clone(link));
         let candidate = PlacementCandidate {
             same_data_centre: link.same_data_centre,
             standing: link.standing(),
             path_backing_off: link.is_backing_off(now),
             load: link.estimated_load(now),
             slots: endpoint.slots,
+            limit: self.limit_at(&guard).map(|(rate, delay)| RateBound::new(rate, delay, mean_time)),
         };
         let load_age = link.load_age(now);
-        Some(ReachableEndpoint { guard: GuardRef::Remote(name.clone(), Rc::clone(link)), candidate, load_age })
+        Some(ReachableEndpoint { guard, candidate, load_age })
+    }
+
+    /// The rate limit of a guard's endpoint and the estimated time until a request may start there.
+    fn limit_at(&self, guard: &GuardRef) -> Option<(RequestRate, Duration)> {
+        let (name, link) = match guard {
+            GuardRef::Local => return self.guard.limit(),
+            GuardRef::Remote(name, link) => (name, link),
+        };
+        let rate = match link.limit() {
+            LimitStatement::Limit(it) => it,
+            LimitStatement::None => return None,
+            // The guard may have restarted and forgotten what its endpoint said.
+            LimitStatement::Unknown => self.endpoint_report(name)?.limit?,
+        };
+        Some((rate, link.start_delay(rate, clock::now())))
     }
 
     /// Whether endpoints of the service may become reachable soon, because this proxy has just started or is opening a
@@ -184,14 +235,15 @@
         suspicion::may_be_trial(req.is_idempotent(), req.attempts.get(), req.route().max_attempts)
     }
 
-    /// Requests reservations in the order of the ranking until a guard issues a grant; `None` if all refused.
+    /// Requests reservations in the order of the ranking until a guard issues a grant, or all refused.
     async fn reserve_first(
         self: &Rc<Self>,
         req: &IngressRequest,
         ranked: &RankedEndpoints,
         start_deadline: Instant,
         start: Instant,
-    ) -> Option<Reservation> {
+    ) -> Result<Reservation, Refusals> {
+        let mut refusals = Refusals::default();
         let mut rest = ranked.ranking.ranked.iter();
         let mut pending: FuturesUnordered<LocalBoxFuture<'_, (usize, Result<Grant, GrantRefusal>)>> =
             FuturesUnordered::new();
@@ -217,20 +269,21 @@
             let can_ask = rest.len() > 0;
             tokio::select! {
                 done = pending.next() => {
-                    let (at, result) = done?;
+                    let Some((at, result)) = done else { return Err(refusals) };
                     let guard = &ranked.endpoints[at].guard;
                     let waited = clock::now().saturating_duration_since(start);
                     match result {
                         Ok(grant) => {
                             let asked = req.guards_asked.get() - asked_before;
                             self.emit_placed(req, ranked, at, &grant, asked, waited);
-                            return Some(Reservation { guard: guard.clone(), grant });
+                            return Ok(Reservation { guard: guard.clone(), grant });
                         }
                         Err(reason) => {
+                            refusals.add(reason, self.limit_at(guard).map_or(Duration::ZERO, |it| it.1));
                             let (guard, waited_ms) = (guard.name(self), waited.as_millis());
                             self.events.emit(&Event::NoPlace { request: &req.id, guard, why: reason, waited_ms });
                             if reason == GrantRefusal::Quarantined || (pending.is_empty() && rest.len() == 0) {
-                                return None;
+                                return Err(refusals);
                             }
                         }
                     }
@@ -290,6 +343,7 @@
             rank: req.rank,
             start_within: start_deadline.saturating_duration_since(clock::now()),
             worst_standing: worst_accepted,
+            endpoint_report: self.endpoint_report(guard.name(self)),
         };
         let link = match guard {
             GuardRef::Local => {
@@ -305,7 +359,7 @@
                     self.guard.set_callers_use_route(&reserve_req.route, used_by_callers);
                 }
                 self.guard.merge_crash_record(reserve_req.fingerprint, it.crash_record);
-                (at, it.result)
+                (at, if it.is_rate_limited { Err(GrantRefusal::RateLimited) } else { it.result })
             }
             Err(error) => {
                 if !matches!(error, LinkError::NotConnected) {
--- a/src/proxy/link_set.rs
+++ b/src/proxy/link_set.rs
@@ -187,7 +187,7 @@
                         self.events.emit(&Event::Peer { peer: &name, reachable: true, why: "connected" });
                     }
                     select! {
-                        () = self.send_updates(&link) => (),
+                        () = self.send_updates(&name, &link) => (),
                         () = connection.ended() => (),
                         () = self.link_removed(&name, &link) => (),
                     }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -17,6 +17,7 @@
         fingerprint::Fingerprint,
         incarnation::EndpointId,
         quarantine::{CrashRecord, CrashRecordUpdate},
+        rate_limit::RequestRate,
         suspicion::EndpointStanding,
     },
     platform::Era,
@@ -114,6 +115,21 @@
     /// Whether it is the trial of a quarantined request.
     #[serde(default, rename = "released")]
     pub is_quarantine_trial: bool,
+    /// What the guard's endpoint said in answers that the ingress passed on.
+    #[serde(default)]
+    pub endpoint_report: Option<EndpointReport>,
+}
+
+/// What an endpoint said about itself in answers that a proxy passed on. It binds that proxy, so the proxy tells the
+/// endpoint's guard, which may have restarted since.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointReport {
+    /// The incarnation of the endpoint.
+    pub endpoint: EndpointId,
+    /// Its rate limit, if it named one.
+    pub limit: Option<RequestRate>,
+    /// The time since the first such answer.
+    pub age: Duration,
 }
 
 /// Status and load of a guard, part of its replies.
@@ -129,6 +145,9 @@
     /// Whether the guard has no retry budget left.
     #[serde(rename = "allowance_used")]
     pub retry_budget_exhausted: bool,
+    /// The time until a request that is reserved now may start, by the endpoint's rate limit.
+    #[serde(default)]
+    pub start_delay: Duration,
 }
 
 /// Why a guard refused a grant. Nothing has run.
@@ -145,6 +164,8 @@
     RetryBudgetExhausted,
     /// The request is quarantined because it crashes endpoints.
     Quarantined,
+    /// The endpoint's rate limit does not let the request start in time.
+    RateLimited,
 }
 
 /// The response to [`ReserveRequest`].
@@ -162,6 +183,10 @@
     #[serde(default)]
     #[serde(rename = "case")]
     pub crash_record: CrashRecord,
+    /// Whether the refusal in `result` is [`GrantRefusal::RateLimited`], which proxies of earlier releases can't decode;
+    /// these get `NotServed`.
+    #[serde(default)]
+    pub is_rate_limited: bool,
 }
 
 /// Permits one request to run at an endpoint.
@@ -324,6 +349,9 @@
     /// Whether the sender selected this link. If so, the receiver keeps a link back and reports changes of its status.
     #[serde(rename = "chosen")]
     pub selected: bool,
+    /// What the receiver's endpoint said in answers that the sender passed on.
+    #[serde(default)]
+    pub endpoint_report: Option<EndpointReport>,
 }
 
 /// The response to [`Hello`].
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod config_watch;
 pub mod directory;
 mod endpoint;
+mod endpoint_reports;
 pub mod events;
 mod gossip;
 pub mod guard;
@@ -53,6 +54,7 @@
     platform::{ConfigFinding, ParsedConfig, Store},
     proxy::{
         directory::{Directory, GuardedService, ProxyName, Row},
+        endpoint_reports::EndpointReports,
         events::{Event, EventLog},
         guard::Guard,
         ingress::IngressState,
@@ -101,6 +103,8 @@
     /// Whether a non-empty list of proxies was read from the store.
     members_loaded: Cell<bool>,
     ingress: RefCell<IngressState>,
+    /// What the endpoints of other proxies said in answers that this proxy passed on.
+    endpoint_reports: RefCell<EndpointReports>,
     /// Number of changes of the endpoint or its standing; sent as [`directory::ProxyStatus::revision`].
     endpoint_changes: Cell<u64>,
     /// Number of caller requests without a response.
@@ -167,6 +171,7 @@
             recent_services: RefCell::default(),
             members_loaded: Cell::new(false),
             ingress: RefCell::default(),
+            endpoint_reports: RefCell::default(),
             endpoint_changes: Cell::new(0),
             open_requests: Cell::new(0),
             stop: Cell::new(None),
--- a/src/proxy/peer_link.rs
+++ b/src/proxy/peer_link.rs
@@ -19,7 +19,11 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    decide::{PathHealth, suspicion::EndpointStanding},
+    decide::{
+        PathHealth,
+        rate_limit::{LimitStatement, RequestRate},
+        suspicion::EndpointStanding,
+    },
     proxy::{
         client, clock,
         directory::{ProxyStatus, Row},
@@ -74,12 +78,14 @@
     open_calls: Cell<u32>,
     /// When the connection was lost, or the link created; `None` while connected.
     down_since: Cell<Option<Instant>>,
-    /// The standing of the peer's endpoint, with the incarnation and status revision of the peer that reported it.
-    standing: Cell<(Incarnation, u64, EndpointStanding)>,
+    /// The peer's last status, with the incarnation of the peer that reported it.
+    status: Cell<(Incarnation, ProxyStatus)>,
     sender: RefCell<Option<SendRequest<Full<Bytes>>>>,
     health: RefCell<PathHealth>,
     /// The number of running and waiting requests that the peer last reported, and when.
     reported_load: Cell<(u32, Instant)>,
+    /// The time from that report until a request may start, by the rate limit of the peer's endpoint.
+    reported_start_delay: Cell<Duration>,
     /// Grants requested since that report.
     reserve_requests: Cell<u32>,
     /// Wakes the task that sends hellos and status updates.
@@ -128,10 +134,11 @@
             selected_by_peer: Cell::new(false),
             open_calls: Cell::new(0),
             down_since: Cell::new(Some(clock::now())),
-            standing: Cell::default(),
+            status: Cell::default(),
             sender: RefCell::default(),
             health: RefCell::default(),
             reported_load: Cell::new((0, Instant::now())),
+            reported_start_delay: Cell::default(),
             reserve_requests: Cell::new(0),
             send_requested: Notify::new(),
             hello_requested: Cell::new(true),
@@ -199,18 +206,22 @@
 
     /// The last reported standing of the peer's endpoint.
     pub(super) fn standing(&self) -> EndpointStanding {
-        self.standing.get().2
+        self.status.get().1.standing
+    }
+
+    /// The last reported rate limit of the peer's endpoint.
+    pub(super) fn limit(&self) -> LimitStatement {
+        self.status.get().1.limit
     }
 
-    /// Stores the standing of the peer's endpoint unless it is older than the known one. Returns whether the standing
-    /// changed.
-    pub(super) fn update_standing(&self, stamp: Stamp, status: ProxyStatus) -> bool {
-        let (incarnation, revision, before) = self.standing.get();
-        if (stamp.incarnation, status.revision) <= (incarnation, revision) {
-            return false;
+    /// Stores the peer's status and returns true, unless it is not newer than the known one.
+    pub(super) fn update_status(&self, stamp: Stamp, status: ProxyStatus) -> bool {
+        let (incarnation, known) = self.status.get();
+        let is_newer = (stamp.incarnation, status.revision) > (incarnation, known.revision);
+        if is_newer {
+            self.status.set((stamp.incarnation, status));
         }
-        self.standing.set((stamp.incarnation, status.revision, status.standing));
-        before != status.standing
+        is_newer
     }
 
     /// Requests that a hello is sent, whose response contains the peer's row.
@@ -294,9 +305,10 @@
         self.health.borrow().is_backing_off(now)
     }
 
-    /// Stores the load that the peer reported.
-    pub(super) fn record_load(&self, load: u32, now: Instant) {
+    /// Stores the load that the peer reported, and the time until a request may start there.
+    pub(super) fn record_load(&self, load: u32, start_delay: Duration, now: Instant) {
         self.reported_load.set((load, now));
+        self.reported_start_delay.set(start_delay);
         self.reserve_requests.set(0);
     }
 
@@ -318,4 +330,12 @@
         let age = now.saturating_duration_since(at).as_secs_f32() / HALF_LIFE.as_secs_f32();
         ((load + self.reserve_requests.get()) as f32 * (-age).exp2()).round() as u32
     }
+
+    /// The estimated time until a request may start at the peer's endpoint, whose limit is `rate`: as last reported, and
+    /// later for each grant requested since.
+    pub(super) fn start_delay(&self, rate: RequestRate, now: Instant) -> Duration {
+        let requested_since = f64::from(self.reserve_requests.get()) / f64::from(rate);
+        let added = Duration::try_from_secs_f64(requested_since).unwrap_or_default();
+        (self.reported_start_delay.get() + added).saturating_sub(self.load_age(now))
+    }
 }
--- a/src/proxy/peer_server.rs
+++ b/src/proxy/peer_server.rs
@@ -13,8 +13,8 @@
     proxy::{
         Proxy, client,
         message::{
-            GuardReport, RelayedQuery, ReserveRequest, ReserveResponse, RunEnd, RunQuery, RunRequest, RunResponse,
-            UnknownReason, path,
+            GrantRefusal, GuardReport, RelayedQuery, ReserveRequest, ReserveResponse, RunEnd, RunQuery, RunRequest,
+            RunResponse, UnknownReason, path,
         },
         peer_link::{Link, LinkError},
         routes::Version,
@@ -79,6 +79,7 @@
             running,
             waiting,
             retry_budget_exhausted: self.guard.retry_budget_exhausted(),
+            start_delay: self.guard.start_delay(),
         }
     }
 
@@ -91,11 +92,13 @@
         }
         let result = self.guard.reserve(&req, self.reservation_context(&req)).await;
         let crash_record = self.guard.crash_record(req.fingerprint);
+        let is_rate_limited = result == Err(GrantRefusal::RateLimited);
         ReserveResponse {
             report: self.guard_report(),
-            result,
+            result: if is_rate_limited { Err(GrantRefusal::NotServed) } else { result },
             is_caller_route: self.guard.callers_use_route(&req.route),
             crash_record,
+            is_rate_limited,
         }
     }
 
--- a/tests/gray_failures.rs
+++ b/tests/gray_failures.rs
@@ -64,6 +64,7 @@
             path_backing_off: false,
             load: 0,
             slots: 4,
+            limit: None,
         };
         endpoints.iter().map(candidate).collect()
     }
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use hyper::{HeaderMap, Method};
+use hyper::{
+    HeaderMap, Method,
+    header::{HeaderName, HeaderValue},
+};
 use jayreach::{
+    decide::rate_limit::LimitStatement,
     platform::{self, AnnounceCall, announce_call, parse_config, parse_deregistration, parse_heartbeat},
     proxy::{
         guard::EndpointPhase,
@@ -308,3 +312,42 @@
     assert!(list.iter().any(|it| it.contains("lacks `name`")));
     assert!(list.iter().any(|it| it.starts_with("boot.toml:12:11") && it.contains("must be a number")), "{list:?}");
 }
+
+// What endpoints state about themselves
+
+fn headers(name: &'static str, values: &[&str]) -> HeaderMap {
+    let values = values.iter().map(|it| HeaderValue::from_str(it).expect("a header value"));
+    values.map(|it| (HeaderName::from_static(name), it)).collect()
+}
+
+#[rstest]
+#[case::absent(&[], LimitStatement::None)]
+#[case::a_decimal_number(&["3.4"], limit(3.4))]
+#[case::zero(&[" 0 "], limit(0.0))]
+#[case::huge(&["1000000000"], limit(1e9))]
+#[case::twice_the_lowest_counts(&["5", "2"], limit(2.0))]
+#[case::a_list_the_lowest_counts(&["2, 5"], limit(2.0))]
+#[case::empty(&[""], LimitStatement::Unknown)]
+#[case::text(&["many"], LimitStatement::Unknown)]
+#[case::negative(&["-1"], LimitStatement::Unknown)]
+#[case::not_a_number(&["NaN"], LimitStatement::Unknown)]
+#[case::infinite(&["inf"], LimitStatement::Unknown)]
+#[case::one_of_two_is_malformed(&["2", "many"], LimitStatement::Unknown)]
+fn an_answer_states_a_limit_no_limit_or_nothing(#[case] values: &[&str], #[case] expected: LimitStatement) {
+    assert_eq!(platform::limit_statement(&headers("server-limit", values)), expected);
+}
+
+fn limit(per_second: f64) -> LimitStatement {
+    LimitStatement::Limit(per_second.try_into().expect("the rate is valid"))
+}
+
+#[rstest]
+#[case(&[], false)]
+#[case(&["1"], true)]
+#[case(&["0", "1"], true)]
+#[case(&["0"], false)]
+#[case(&[""], false)]
+#[case(&["true"], false)]
+fn only_1_states_that_an_endpoint_is_leaving(#[case] values: &[&str], #[case] expected: bool) {
+    assert_eq!(platform::is_leaving(&headers("server-leaving", values)), expected);
+}
--- a/tests/proxy_decisions.rs
+++ b/tests/proxy_decisions.rs
@@ -180,7 +180,7 @@
 // Ranking of candidates
 
 fn candidate(same_data_centre: bool, standing: EndpointStanding, load: u32) -> PlacementCandidate {
-    PlacementCandidate { same_data_centre, standing, path_backing_off: false, load, slots: 4 }
+    PlacementCandidate { same_data_centre, standing, path_backing_off: false, load, slots: 4, limit: None }
 }
 
 #[test]
--- a/tests/slot_time.rs
+++ b/tests/slot_time.rs
@@ -41,6 +41,7 @@
                 running: running_count,
                 standing,
                 has_waiters: rng.random_bool(0.5),
+                rate_limited: rng.random_bool(0.2),
             },
             now,
         );
@@ -52,18 +53,28 @@
 }
 
 #[rstest]
-#[case::no_request_waits(EndpointStanding::Clean, false, SlotUse::Idle)]
-#[case::a_request_waits(EndpointStanding::Clean, true, SlotUse::Blocked)]
-#[case::endpoint_suspect(EndpointStanding::Suspect, true, SlotUse::Distrusted)]
-#[case::endpoint_declining(EndpointStanding::Declining, false, SlotUse::Distrusted)]
+#[case::no_request_waits(EndpointStanding::Clean, false, false, SlotUse::Idle)]
+#[case::a_request_waits(EndpointStanding::Clean, true, false, SlotUse::Blocked)]
+#[case::endpoint_suspect(EndpointStanding::Suspect, true, false, SlotUse::Distrusted)]
+#[case::endpoint_declining(EndpointStanding::Declining, false, false, SlotUse::Distrusted)]
+#[case::rate_limit_reached(EndpointStanding::Clean, true, true, SlotUse::Limited)]
 fn a_free_slot_is_counted_by_its_reason(
     #[case] standing: EndpointStanding,
     #[case] has_waiters: bool,
+    #[case] rate_limited: bool,
     #[case] expected: SlotUse,
 ) {
     let start = Instant::now();
     let mut account = SlotTime::default();
-    let occupancy = SlotOccupancy { slots: SLOTS, usable: SLOTS, unused_grants: 1, running: 1, standing, has_waiters };
+    let occupancy = SlotOccupancy {
+        slots: SLOTS,
+        usable: SLOTS,
+        unused_grants: 1,
+        running: 1,
+        standing,
+        has_waiters,
+        rate_limited,
+    };
 
     account.advance(occupancy, start);
     account.advance(occupancy, start + Duration::from_secs(2));
