An endpoint that says in an answer that it is leaving gets no more requests

Requests reached endpoints that had said so long ago: 260 of them, sent more than two seconds after a proxy had passed such an answer on. Cause: as with Server-Limit, no proxy read Server-Leaving; only announcements and deregistrations ended an endpoint's service.

The guard now marks its endpoint as leaving on any answer that is surely the endpoint's (health checks too): waiters are refused, unused grants revoked, the row is sent, and later heartbeats that say ready change nothing. A proxy that passed such an answer on sends that incarnation no more requests, whatever the row of a restarted guard says, and reports it to the guard when the link opens again, so that the new process does not list the endpoint either.

Reports compare start times, so that nothing passes to a later incarnation under the same name.

--- a/src/decide/incarnation.rs
+++ b/src/decide/incarnation.rs
@@ -28,12 +28,6 @@
         let max_skew = UnixMillis::try_from(MAX_CLOCK_SKEW.as_millis()).unwrap_or(UnixMillis::MAX);
         Self { name: name.into(), started_at: started_at.filter(|it| *it <= now.saturating_add(max_skew)) }
     }
-
-    /// Whether both may be the same incarnation: a start time may have been unknown to one side.
-    pub fn may_equal(&self, other: &Self) -> bool {
-        let known_and_different = self.started_at.zip(other.started_at).is_some_and(|(a, b)| a != b);
-        self.name == other.name && !known_and_different
-    }
 }
 
 /// The incarnation that a guard has on record.
--- a/src/platform/health.rs
+++ b/src/platform/health.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     decide::rate_limit::LimitStatement,
-    platform::headers::{endpoint_load, instance_id, limit_statement},
+    platform::headers::{endpoint_load, instance_id, is_leaving, limit_statement},
     proxy,
 };
 
@@ -18,21 +18,25 @@
 pub struct HealthReply {
     /// The name of its incarnation.
     pub id: Box<str>,
-    /// The number of requests that it runs at once.
+    /// The number of requests that it runs at once; 0 if it does not say so.
     pub slots: u32,
     /// What it states about its rate limit.
     pub limit: LimitStatement,
+    /// Whether it states that it is leaving.
+    pub leaving: bool,
 }
 
 /// Checks the health of the endpoint at `address`, at `path` or the default path. Returns `None` if no response comes
-/// within `timeout`, or if it lacks its incarnation or its slots or has another status than 200.
+/// within `timeout` or it lacks its incarnation, and unless it is leaving, if the response lacks its slots or has another
+/// status than 200.
 pub async fn probe_health(address: SocketAddr, path: Option<&str>, timeout: Duration) -> Option<HealthReply> {
     let path = path.unwrap_or(DEFAULT_HEALTH_PATH);
     match proxy::call(address, Method::GET, path, Bytes::new(), timeout).await {
-        Ok(resp) if resp.status() == StatusCode::OK => {
-            let id = instance_id(resp.headers())?.into();
-            let (_, _, slots) = endpoint_load(resp.headers())?;
-            Some(HealthReply { id, slots, limit: limit_statement(resp.headers()) })
+        Ok(resp) if resp.status() == StatusCode::OK || is_leaving(resp.headers()) => {
+            let headers = resp.headers();
+            let (id, leaving) = (instance_id(headers)?.into(), is_leaving(headers));
+            let slots = endpoint_load(headers).map(|it| it.2).or(leaving.then_some(0))?;
+            Some(HealthReply { id, slots, limit: limit_statement(headers), leaving })
         }
         Ok(resp) => {
             log::debug!("health probe of {address}{path}: status {}", resp.status());
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -169,7 +169,10 @@
         let path = config.as_ref().and_then(|it| it.health_path(&settings.service));
         let sent = clock::now();
         let health = platform::probe_health(settings.endpoint, path, HEALTH_TIMEOUT).await;
-        let Some(HealthReply { id, slots, limit }) = health else { return };
+        let Some(HealthReply { id, slots, limit, leaving }) = health else { return };
+        if leaving {
+            return self.guard.handle_health_leaving(&id);
+        }
         let name = id.clone();
         self.guard.handle_health_reply(Announcement {
             id: EndpointId { name: id, started_at: None },
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -73,6 +73,11 @@
 }
 
 impl EndpointNotice {
+    /// The notice in the headers of an endpoint's answer.
+    pub(super) fn new(headers: &HeaderMap) -> Self {
+        Self { limit: platform::limit_statement(headers), leaving: platform::is_leaving(headers) }
+    }
+
     /// The notice in the headers of an answer to the request `request_id`; `None` if it may come from another process or
     /// incarnation, or answer another request.
     fn from_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> Option<Self> {
@@ -82,12 +87,12 @@
         if is_other_request || status == StatusCode::MISDIRECTED_REQUEST || !is_from_endpoint {
             return None;
         }
-        let limit = match platform::limit_statement(headers) {
+        let mut notice = Self::new(headers);
+        if not_executed && notice.limit == LimitStatement::None {
             // Whatever rejects requests for the endpoint may not know its limit.
-            LimitStatement::None if not_executed => LimitStatement::Unknown,
-            it => it,
-        };
-        Some(Self { limit, leaving: platform::is_leaving(headers) })
+            notice.limit = LimitStatement::Unknown;
+        }
+        Some(notice)
     }
 }
 
--- a/src/proxy/endpoint_reports.rs
+++ b/src/proxy/endpoint_reports.rs
@@ -1,13 +1,14 @@
 //! What the endpoints of other proxies said about themselves in answers that this proxy passed on.
 //!
-//! A guard that restarts forgets its endpoint's limit, but the proxies that passed the limit on are still bound by it. So
-//! each of them reports it with its next reservation, before the guard issues a grant.
+//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it. So each of
+//! them reports it with its next reservation, before the guard issues a grant, and sends an endpoint that is leaving no
+//! more requests, whatever the guard's row says.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::{
     decide::{incarnation::EndpointId, rate_limit::LimitStatement},
-    proxy::{Proxy, clock, directory::ProxyName, message::EndpointReport},
+    proxy::{Proxy, clock, directory::ProxyName, endpoint::EndpointNotice, message::EndpointReport},
 };
 
 /// A report whose age grows.
@@ -31,20 +32,28 @@
         &mut self,
         name: &str,
         endpoint: &EndpointId,
-        limit: LimitStatement,
+        notice: EndpointNotice,
         listed: Option<&EndpointId>,
         now: Instant,
     ) {
         // Whether a limit has ended is for the guard to say, which sees all answers in their order.
-        let LimitStatement::Limit(rate) = limit else { return };
-        let report = EndpointReport { endpoint: endpoint.clone(), limit: Some(rate), age: Default::default() };
+        let limit = match notice.limit {
+            LimitStatement::Limit(rate) => Some(rate),
+            LimitStatement::None | LimitStatement::Unknown => None,
+        };
+        let leaving = notice.leaving;
+        if limit.is_none() && !leaving {
+            return;
+        }
+        let report = EndpointReport { endpoint: endpoint.clone(), limit, leaving, age: Duration::ZERO };
         let next = AgingReport { report, learnt_at: now };
         match self.position(name) {
             Err(at) => self.reports.insert(at, (name.into(), next)),
             Ok(at) => {
                 let known = &mut self.reports[at].1;
                 if known.report.endpoint == *endpoint {
-                    known.report.limit.get_or_insert(rate);
+                    known.report.limit = known.report.limit.or(limit);
+                    known.report.leaving |= leaving;
                 } else if listed != Some(&known.report.endpoint) {
                     *known = next;
                 }
@@ -66,10 +75,18 @@
     /// The report to send to the proxy `name`.
     pub(super) fn get(&self, name: &str, now: Instant) -> Option<EndpointReport> {
         let it = &self.reports[self.position(name).ok()?].1;
-        it.report.limit?;
+        if it.report.limit.is_none() && !it.report.leaving {
+            return None;
+        }
         Some(EndpointReport { age: now.saturating_duration_since(it.learnt_at), ..it.report.clone() })
     }
 
+    /// Whether `endpoint`, on the VM of the proxy `name`, said that it is leaving.
+    pub(super) fn is_leaving(&self, name: &str, endpoint: &EndpointId) -> bool {
+        let report = self.get(name, clock::now());
+        report.is_some_and(|it| it.leaving && it.may_be_about(endpoint, clock::unix_millis()))
+    }
+
     /// Removes the reports about the endpoints of proxies for which `keep` is false.
     pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.reports.retain(|it| keep(&it.0));
@@ -87,9 +104,9 @@
     }
 
     /// Records what an answer that is about to be passed on states about its endpoint, on the VM of the proxy `name`.
-    pub(super) fn record_passed_on(&self, name: &str, endpoint: &EndpointId, limit: LimitStatement) {
+    pub(super) fn record_passed_on(&self, name: &str, endpoint: &EndpointId, notice: EndpointNotice) {
         let directory = self.directory.borrow();
         let listed = directory.get(name).and_then(|it| it.endpoints.endpoint.as_ref()).map(|it| &it.id);
-        self.endpoint_reports.borrow_mut().record_answer(name, endpoint, limit, listed, clock::now());
+        self.endpoint_reports.borrow_mut().record_answer(name, endpoint, notice, listed, clock::now());
     }
 }
--- a/src/proxy/guard/notices.rs
+++ b/src/proxy/guard/notices.rs
@@ -7,10 +7,10 @@
 
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{Endpoint, Guard};
+use super::{Endpoint, EndpointPhase, Guard};
 use crate::{
     decide::{
-        incarnation::EndpointId,
+        incarnation::{EndpointId, is_retired},
         rate_limit::{EndpointLimit, LimitStatement, RequestRate},
     },
     proxy::{clock, endpoint::EndpointNotice, events::Event, message::EndpointReport},
@@ -40,6 +40,9 @@
         self.update_limit(matches, LimitSource::Answer(request_id), |it, now| {
             it.record_answer(notice.limit, sent, now);
         });
+        if notice.leaving {
+            self.leave_by_notice(id, &format!("said so in its answer to {request_id}"));
+        }
     }
 
     /// Handles the answer to a health check of the endpoint `name`, which was sent at `sent`.
@@ -48,13 +51,51 @@
         self.update_limit(matches, LimitSource::HealthCheck, |it, now| it.record_health_check(limit, sent, now));
     }
 
+    /// Handles the answer to a health check by which the endpoint `name` is leaving.
+    pub fn handle_health_leaving(self: &Rc<Self>, name: &str) {
+        let known = self.state.borrow().endpoint.as_ref().map(|it| it.announcement.id.clone());
+        let id = known
+            .filter(|it| *it.name == *name)
+            .unwrap_or_else(|| EndpointId { name: name.into(), started_at: Some(clock::unix_millis()) });
+        self.leave_by_notice(&id, "said so in its answer to a health check");
+    }
+
     /// Handles what a proxy reports about this VM's endpoint.
     pub fn apply_endpoint_report(self: &Rc<Self>, report: &EndpointReport) {
-        let EndpointReport { endpoint, limit, age } = report;
-        let matches = |it: &Endpoint| it.announcement.id.may_equal(endpoint);
+        let EndpointReport { endpoint, limit, leaving, age } = report;
+        let unix_now = clock::unix_millis();
+        let matches = |it: &Endpoint| report.may_be_about(&it.announcement.id, unix_now);
         if let Some(rate) = limit {
             self.update_limit(matches, LimitSource::Peer(*age), |it, now| it.record_report(*rate, now));
         }
+        if !*leaving {
+            return;
+        }
+        let known = self.state.borrow().endpoint.as_ref().map(|it| it.announcement.id.clone());
+        // While the current incarnation's start is unknown here, it may be a later one under the same name.
+        let is_current = |it: &EndpointId| {
+            report.may_be_about(it, unix_now) && (it.started_at.is_some() || endpoint.started_at.is_none())
+        };
+        let said_at = unix_now.saturating_sub(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        let id = known.filter(is_current).unwrap_or_else(|| EndpointId {
+            name: endpoint.name.clone(),
+            started_at: Some(endpoint.started_at.unwrap_or(said_at)),
+        });
+        self.leave_by_notice(&id, "said so in an answer that a peer passed on");
+    }
+
+    /// Marks the endpoint `id` as leaving because of what it said, unless that is known.
+    fn leave_by_notice(self: &Rc<Self>, id: &EndpointId, why: &str) {
+        let state = self.state.borrow();
+        let current = state.endpoint.as_ref().filter(|it| it.announcement.id == *id);
+        let is_known = match current {
+            Some(it) => it.announcement.phase == EndpointPhase::Leaving,
+            None => is_retired(&state.retired, id),
+        };
+        drop(state);
+        if !is_known {
+            self.mark_leaving(id, why);
+        }
     }
 
     /// Whether the endpoint's limit is so low that only health checks tell in time when it ends.
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -28,6 +28,7 @@
     proxy::{
         Proxy, client, clock,
         directory::ProxyName,
+        endpoint::EndpointNotice,
         events::{AnsweredRequest, Event},
         guard::ReservationContext,
         headers,
@@ -383,7 +384,7 @@
         *resp.headers_mut() = content.headers();
         *resp.body_mut() = Full::new(Bytes::from(content.body.into_vec()));
         if let GuardRef::Remote(name, _) = guard {
-            self.record_passed_on(name, endpoint, platform::limit_statement(resp.headers()));
+            self.record_passed_on(name, endpoint, EndpointNotice::new(resp.headers()));
         }
         resp
     }
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -154,9 +154,13 @@
         let local = local.map(|it| self.local_endpoint(&it, mean_time));
         let directory = self.directory.borrow();
         let links = self.links.borrow();
+        let reports = self.endpoint_reports.borrow();
         let remote = links.iter().filter_map(|(name, link)| {
             let served = &directory.get_by_key(link.key)?.endpoints;
             let endpoint = served.endpoint.as_ref().filter(|it| !tried.contains(&it.id))?;
+            if reports.is_leaving(name, &endpoint.id) {
+                return None;
+            }
             (served.service == req.service).then(|| self.remote_endpoint(name, link, endpoint, mean_time))?
         });
         let endpoints: Vec<ReachableEndpoint> = local.into_iter().chain(remote).collect();
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -15,7 +15,7 @@
 use crate::{
     decide::{
         fingerprint::Fingerprint,
-        incarnation::EndpointId,
+        incarnation::{EndpointId, UnixMillis},
         quarantine::{CrashRecord, CrashRecordUpdate},
         rate_limit::RequestRate,
         suspicion::EndpointStanding,
@@ -128,10 +128,26 @@
     pub endpoint: EndpointId,
     /// Its rate limit, if it named one.
     pub limit: Option<RequestRate>,
+    /// Whether it said that it is leaving.
+    pub leaving: bool,
     /// The time since the first such answer.
     pub age: Duration,
 }
 
+impl EndpointReport {
+    /// Whether this may be about the incarnation `id`; `now` is the current time in Unix milliseconds. If a start time is
+    /// unknown, the endpoint may have restarted under its name since.
+    pub fn may_be_about(&self, id: &EndpointId, now: UnixMillis) -> bool {
+        let said_at = now.saturating_sub(UnixMillis::try_from(self.age.as_millis()).unwrap_or(UnixMillis::MAX));
+        self.endpoint.name == id.name
+            && match (self.endpoint.started_at, id.started_at) {
+                (Some(said), Some(current)) => said == current,
+                (None, Some(current)) => current <= said_at,
+                (_, None) => true,
+            }
+    }
+}
+
 /// Status and load of a guard, part of its replies.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct GuardReport {
