Proxy soak: endpoints name limits and leave by their answers (--notices)

The soak checks both rules by their own windows and by the proxy at which each request began, while guards are killed, stopped, paused and cut off. Only restarts free a proxy from what it passed on; windows that touch a fault between a guard and its endpoint are left out, since held-up requests arrive together.

Answers of stand-ins name their incarnation in a header that only the checks read; existing seeds draw the same faults as before.

--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -142,6 +142,8 @@
         crashing: bool,
         /// Restore the store from a backup from time to time
         restoring: bool,
+        /// Let endpoints name limits and say that they are leaving in their answers
+        notices: bool,
         /// Print each fault
         verbose: bool,
     },
@@ -204,11 +206,12 @@
         Command::Idle { daemons, changes, endpoints, large } => {
             idle::run(IdleOptions { daemons, changes, endpoints, large }).map(|()| true)
         }
-        Command::ProxySoak { seed, count, seconds, proxies, crashing, restoring, verbose } => {
+        Command::ProxySoak { seed, count, seconds, proxies, crashing, restoring, notices, verbose } => {
             let duration = Duration::from_secs(seconds);
             let mut passed = true;
             for seed in seed..seed + count {
-                let options = platform::soak::SoakOptions { seed, duration, proxies, crashing, restoring, verbose };
+                let options =
+                    platform::soak::SoakOptions { seed, duration, proxies, crashing, restoring, notices, verbose };
                 let report = platform::soak::run(&options)?;
                 println!("seed {seed}: {}: {report}", if report.passed() { "kept" } else { "BROKEN" });
                 passed &= report.passed();
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -23,6 +23,9 @@
 /// Time within which the proxy acknowledges a heartbeat.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Name of the header with the incarnation that made an answer; only the checks read it.
+pub const ANSWERED_BY: &str = "x-answered-by";
+
 /// How an endpoint handles requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum EndpointMode {
@@ -60,6 +63,8 @@
     pub method_and_target: String,
     /// Id of the incarnation at which it arrived.
     pub instance: String,
+    /// Whether it was for another incarnation, so that it got 421.
+    pub misdirected: bool,
     /// Value of `X-Caller-Service`.
     pub caller: String,
     /// Value of `X-Deadline-Ms`, in milliseconds; 0 if it is missing.
@@ -443,7 +448,8 @@
         let state = self.lock();
         let limit = state.limit.as_deref().map(|it| ("Server-Limit", it));
         let leaving = state.leaving.then_some(("Server-Leaving", "1"));
-        let headers: Vec<_> = headers.iter().copied().chain(limit).chain(leaving).collect();
+        let answered_by = Some((ANSWERED_BY, &*state.instance));
+        let headers: Vec<_> = headers.iter().copied().chain(answered_by).chain(limit).chain(leaving).collect();
         http::encode(start_line, &headers, body)
     }
 
@@ -455,6 +461,7 @@
         state.arrivals.push(Arrival {
             request_id: header("x-request-id"),
             method_and_target: req.start_line.trim_end_matches(" HTTP/1.1").to_owned(),
+            misdirected: header("x-expect-instance") != instance && req.header("x-expect-instance").is_some(),
             instance,
             caller: header("x-caller-service"),
             deadline_ms: header("x-deadline-ms").parse().unwrap_or(0),
--- a/standins/src/platform/soak/callers.rs
+++ b/standins/src/platform/soak/callers.rs
@@ -10,7 +10,7 @@
 
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
-use crate::platform::{caller::CallerRequest, http, site::HOST};
+use crate::platform::{caller::CallerRequest, endpoint_rules::AnswerNotice, http, site::HOST};
 
 /// Deadline of each request; longer than the routes' timeout of two seconds.
 const DEADLINE: Duration = Duration::from_secs(3);
@@ -51,6 +51,7 @@
     pub(super) sent: Instant,
     pub(super) ended: Instant,
     pub(super) outcome: Outcome,
+    pub(super) notice: AnswerNotice,
 }
 
 /// A caller of one proxy.
@@ -88,9 +89,9 @@
                 if idempotent { format!("GET /read/{number}") } else { format!("POST /write/{number}") };
             let request_id = format!("{}-{number:x}", self.name);
             let sent = Instant::now();
-            let (outcome, reusable) = exchange(&mut stream, &method_and_target, &request_id);
-            let ended = Instant::now();
-            records.push(Record { request_id, idempotent, proxy: self.proxy, method_and_target, sent, ended, outcome });
+            let (outcome, notice, reusable) = exchange(&mut stream, &method_and_target, &request_id);
+            let (proxy, ended) = (self.proxy, Instant::now());
+            records.push(Record { request_id, idempotent, proxy, method_and_target, sent, ended, outcome, notice });
             if reusable {
                 idle_connection = Some(stream);
             }
@@ -115,12 +116,13 @@
     stream: &mut BufReader<TcpStream>,
     method_and_target: &str,
     request_id: &str,
-) -> (Outcome, bool) {
+) -> (Outcome, AnswerNotice, bool) {
     let body: &[u8] = if method_and_target.starts_with("POST") { request_id.as_bytes() } else { b"" };
     let req = CallerRequest { method_and_target, host: HOST, request_id, deadline: DEADLINE, body };
     if stream.get_mut().write_all(&req.encode()).is_err() {
-        return (Outcome::Closed, false);
+        return (Outcome::Closed, AnswerNotice::default(), false);
     }
+    let without_response = |outcome| (outcome, AnswerNotice::default(), false);
     match http::read_message(stream) {
         Ok(Some(resp)) => {
             let status = resp.status();
@@ -129,10 +131,10 @@
                 && (status != 200 || resp.body.ends_with(format!(" {request_id}").as_bytes()));
             let reusable = resp.header("connection") != Some("close");
             let quarantined = resp.body.starts_with(QUARANTINE_PREFIX);
-            (Outcome::Response { status, from_endpoint, quarantined }, reusable)
+            (Outcome::Response { status, from_endpoint, quarantined }, AnswerNotice::of(&resp), reusable)
         }
-        Ok(None) => (Outcome::Closed, false),
-        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => (Outcome::Silent, false),
-        Err(_) => (Outcome::Closed, false),
+        Ok(None) => without_response(Outcome::Closed),
+        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => without_response(Outcome::Silent),
+        Err(_) => without_response(Outcome::Closed),
     }
 }
--- a/standins/src/platform/soak/crashing.rs
+++ b/standins/src/platform/soak/crashing.rs
@@ -50,9 +50,9 @@
         let Ok(mut stream) = Caller::connect_to(proxies[proxy]) else { continue };
         let request_id = format!("crash-{seed:x}-{number:x}");
         let sent = Instant::now();
-        let (outcome, _) = callers::exchange(&mut stream, REQUEST_LINE, &request_id);
+        let (outcome, notice, _) = callers::exchange(&mut stream, REQUEST_LINE, &request_id);
         let (method_and_target, ended) = (REQUEST_LINE.to_owned(), Instant::now());
-        records.push(Record { request_id, idempotent: true, proxy, method_and_target, sent, ended, outcome });
+        records.push(Record { request_id, idempotent: true, proxy, method_and_target, sent, ended, outcome, notice });
     }
     records
 }
--- a/standins/src/platform/soak/faults.rs
+++ b/standins/src/platform/soak/faults.rs
@@ -13,6 +13,7 @@
 use crate::{
     platform::{
         endpoint::EndpointMode,
+        endpoint_rules::ProxyFault,
         site::{Relays, Site},
         store::StoreMode,
     },
@@ -61,6 +62,11 @@
     Endpoint(EndpointMode),
     /// The endpoint announces that it drains; at the end another incarnation replaces it.
     Leave,
+    /// The endpoint names this limit in its answers.
+    Limit(&'static str),
+    /// The endpoint says in its answers that it is leaving, while its heartbeats say that it is ready; at the end another
+    /// incarnation replaces it.
+    LeaveByAnswers,
     /// Another incarnation takes over the endpoint's address; the former one announces no end.
     Replace,
     /// The store misbehaves.
@@ -78,6 +84,26 @@
 }
 
 impl Fault {
+    /// Draws a fault of the kinds that only soaks with notices have.
+    fn draw_notice(rng: &mut SmallRng) -> Self {
+        const LIMITS: [&str; 8] = ["0.5", "1", "1", "2", "3.4", "8", "0", "many"];
+        if rng.random_bool(0.8) {
+            Self::Limit(LIMITS.choose(rng).expect("the list is not empty"))
+        } else {
+            Self::LeaveByAnswers
+        }
+    }
+
+    /// How long the fault lasts, in milliseconds.
+    fn duration_ms(self) -> std::ops::Range<u64> {
+        match self {
+            // A limit has to hold from three seconds after it was first named.
+            Self::Limit(_) => 4_000..14_000,
+            Self::LeaveByAnswers => 3_000..6_000,
+            _ => DURATION_MS,
+        }
+    }
+
     fn draw(rng: &mut SmallRng) -> Self {
         const ENDPOINT_MODES: [EndpointMode; 9] = [
             EndpointMode::FailsFast,
@@ -124,7 +150,13 @@
                 Some(Some(index))
             }
             Self::Store(_) | Self::Compact => Some(None),
-            Self::Reload | Self::Endpoint(_) | Self::Leave | Self::Replace | Self::Change => None,
+            Self::Reload
+            | Self::Endpoint(_)
+            | Self::Leave
+            | Self::Limit(_)
+            | Self::LeaveByAnswers
+            | Self::Replace
+            | Self::Change => None,
         }
     }
 }
@@ -163,6 +195,10 @@
     pub(super) disturbances: Vec<DisturbedPeriod>,
     pub(super) fault_periods: Vec<FaultPeriod>,
     pub(super) draining_periods: Vec<DrainingPeriod>,
+    /// Restarts of proxies.
+    pub(super) restarts: Vec<ProxyFault>,
+    /// Faults on the path from a proxy to its endpoint, which may hold up requests so that they arrive together.
+    pub(super) endpoint_path_faults: Vec<ProxyFault>,
 }
 
 /// Period from the acknowledgement that an endpoint is draining until another incarnation replaces it.
@@ -184,6 +220,8 @@
     disturbances: Vec<DisturbedPeriod>,
     fault_periods: Vec<FaultPeriod>,
     draining_periods: Vec<DrainingPeriod>,
+    restarts: Vec<ProxyFault>,
+    endpoint_path_faults: Vec<ProxyFault>,
     /// By proxy: whether it was killed or got SIGTERM, and has not been started again yet.
     expected_down: Vec<bool>,
 }
@@ -201,6 +239,8 @@
             disturbances: Vec::new(),
             fault_periods: Vec::new(),
             draining_periods: Vec::new(),
+            restarts: Vec::new(),
+            endpoint_path_faults: Vec::new(),
             expected_down,
         }
     }
@@ -222,8 +262,17 @@
 
     /// Returns the record of the injected faults.
     pub(super) fn into_record(self) -> FaultRecord {
-        let Self { version, crashes, disturbances, fault_periods, draining_periods, .. } = self;
-        FaultRecord { version, crashes, disturbances, fault_periods, draining_periods }
+        let Self {
+            version,
+            crashes,
+            disturbances,
+            fault_periods,
+            draining_periods,
+            restarts,
+            endpoint_path_faults,
+            ..
+        } = self;
+        FaultRecord { version, crashes, disturbances, fault_periods, draining_periods, restarts, endpoint_path_faults }
     }
 
     fn draw_schedule(&mut self) -> Vec<FaultEvent> {
@@ -234,9 +283,12 @@
             if at >= self.options.duration {
                 break;
             }
-            let fault = Fault::draw(&mut self.rng);
+            let fault = match self.options.notices && self.rng.random_bool(0.4) {
+                true => Fault::draw_notice(&mut self.rng),
+                false => Fault::draw(&mut self.rng),
+            };
             let proxy = self.rng.random_range(0..self.options.proxies);
-            let end = at + Duration::from_millis(self.rng.random_range(DURATION_MS));
+            let end = at + Duration::from_millis(self.rng.random_range(fault.duration_ms()));
             schedule.push(FaultEvent { at, fault, proxy, is_start: true });
             schedule.push(FaultEvent { at: end, fault, proxy, is_start: false });
         }
@@ -267,6 +319,8 @@
                     self.draining_periods.push(DrainingPeriod { proxy: index, from: Instant::now(), to: None });
                 }
             }
+            Fault::Limit(value) => proxy.endpoint.set_limit(Some(value)),
+            Fault::LeaveByAnswers => proxy.endpoint.leave_by_answers(),
             Fault::Replace => self.replace_endpoint(index),
             Fault::Store(mode) => self.site.store.set_mode(mode),
             Fault::Compact => self.site.store.compact(),
@@ -278,6 +332,13 @@
             Fault::Silence(side) => side.of(&proxy.relays).silence_open_connections(),
             Fault::Reset(side) => side.of(&proxy.relays).reset_open_connections(),
         }
+        match fault {
+            Fault::Kill | Fault::Stop(_) => self.restarts.push(ProxyFault { proxy: index, from: now, to: None }),
+            Fault::Weather(Side::Endpoint, _) | Fault::Silence(Side::Endpoint) | Fault::Reset(Side::Endpoint) => {
+                self.endpoint_path_faults.push(ProxyFault { proxy: index, from: now, to: None });
+            }
+            _ => (),
+        }
         if matches!(fault, Fault::Kill | Fault::Pause) {
             self.disturbances.push(DisturbedPeriod { proxy: index, from: now, to: now + STOP_TIMEOUT });
         }
@@ -295,7 +356,8 @@
                 }
             }
             Fault::Endpoint(_) => proxy.endpoint.set_mode(EndpointMode::Good),
-            Fault::Leave => self.replace_endpoint(index),
+            Fault::Limit(_) => proxy.endpoint.set_limit(None),
+            Fault::Leave | Fault::LeaveByAnswers => self.replace_endpoint(index),
             Fault::Store(_) => self.site.store.set_mode(StoreMode::Good),
             Fault::Weather(side, _) => side.of(&proxy.relays).set_impairment(Impairment::None),
             Fault::Reload | Fault::Replace | Fault::Compact | Fault::Change | Fault::Silence(_) | Fault::Reset(_) => (),
@@ -305,6 +367,13 @@
         {
             it.to = Some(Instant::now());
         }
+        if matches!(
+            fault,
+            Fault::Weather(Side::Endpoint, _) | Fault::Silence(Side::Endpoint) | Fault::Reset(Side::Endpoint)
+        ) && let Some(it) = self.endpoint_path_faults.iter_mut().find(|it| it.proxy == index && it.to.is_none())
+        {
+            it.to = Some(Instant::now());
+        }
         Ok(())
     }
 
@@ -336,6 +405,10 @@
         }
         proxy.restart()?;
         self.expected_down[index] = false;
+        let now = Instant::now();
+        for it in self.restarts.iter_mut().filter(|it| it.proxy == index && it.to.is_none()) {
+            it.to = Some(now);
+        }
         Ok(())
     }
 
@@ -344,7 +417,9 @@
         for index in 0..self.site.proxies.len() {
             if !self.expected_down[index] && self.site.proxies[index].has_exited() {
                 self.crashes += 1;
+                let from = Instant::now();
                 self.site.proxies[index].restart()?;
+                self.restarts.push(ProxyFault { proxy: index, from, to: Some(Instant::now()) });
             }
         }
         Ok(())
--- a/standins/src/platform/soak/mod.rs
+++ b/standins/src/platform/soak/mod.rs
@@ -57,6 +57,8 @@
     pub crashing: bool,
     /// Whether the store is repeatedly restored from a backup.
     pub restoring: bool,
+    /// Whether endpoints name limits and say that they are leaving in their answers.
+    pub notices: bool,
     /// Whether a line is printed for the start and the end of each fault.
     pub verbose: bool,
 }
@@ -97,10 +99,12 @@
         (records, version_thread.join().expect("the version thread does not panic"), injected)
     });
     injected?;
-    let FaultRecord { version, crashes, disturbances, fault_periods, draining_periods } = injector.into_record();
+    let FaultRecord { version, crashes, disturbances, fault_periods, draining_periods, restarts, endpoint_path_faults } =
+        injector.into_record();
     let converged = wait_for_convergence(&site, version);
     // The arrivals are read after the wait, so they include requests that ran after their refusal.
     let arrivals = site.proxies.iter().map(|it| it.endpoint.arrivals()).collect();
+    let limits = site.proxies.iter().map(|it| it.endpoint.named_limits()).collect();
     let services = site.proxies.iter().map(|it| it.endpoint.service().to_owned()).collect();
     Ok(check(Observations {
         records,
@@ -109,6 +113,9 @@
         disturbances,
         fault_periods,
         draining_periods,
+        limits,
+        restarts,
+        endpoint_path_faults,
         reverts,
         crashes,
         converged,
--- a/standins/src/platform/soak/promises.rs
+++ b/standins/src/platform/soak/promises.rs
@@ -14,7 +14,10 @@
     crashing,
     faults::{DisturbedPeriod, DrainingPeriod, FaultPeriod},
 };
-use crate::platform::endpoint::Arrival;
+use crate::platform::{
+    endpoint::{Arrival, NamedLimit},
+    endpoint_rules::{CallerRecord, EndpointRecord, EndpointRules, ProxyFault},
+};
 
 /// Number of violations that are printed in full.
 const MAX_VIOLATIONS: usize = 5;
@@ -33,6 +36,10 @@
     pub(super) disturbances: Vec<DisturbedPeriod>,
     pub(super) fault_periods: Vec<FaultPeriod>,
     pub(super) draining_periods: Vec<DrainingPeriod>,
+    /// Limits that the endpoints named, by proxy.
+    pub(super) limits: Vec<Vec<NamedLimit>>,
+    pub(super) restarts: Vec<ProxyFault>,
+    pub(super) endpoint_path_faults: Vec<ProxyFault>,
     pub(super) reverts: usize,
     pub(super) crashes: usize,
     pub(super) converged: bool,
@@ -65,6 +72,10 @@
     pub late_crash_runs: usize,
     /// Other requests that were refused as quarantined.
     pub wrongly_quarantined: usize,
+    /// Endpoints that got more requests than a limit that they had named.
+    pub limits_exceeded: usize,
+    /// Requests that arrived at endpoints that had said in an answer that they were leaving.
+    pub arrived_after_leaving: usize,
     /// Decreases of a proxy's configuration version.
     pub reverts: usize,
     /// Proxies that exited although the soak had neither killed nor stopped them.
@@ -87,6 +98,8 @@
             + self.lost_responses
             + self.late_crash_runs
             + self.wrongly_quarantined
+            + self.limits_exceeded
+            + self.arrived_after_leaving
             + self.reverts
             + self.crashes;
         violations == 0 && !self.not_converged
@@ -104,7 +117,7 @@
         write!(
             f,
             "requests {} (served {}, unknown {}); twice {}, refused but ran {}, mixed {}, unasked {}, denied {}, \
-             after leaving {}, lost {}, late ends {}, held back {}, versions back {}, crashes {}, scattered {}",
+             after leaving {}, lost {}, late ends {}, held back {}, over limits {}, to leaving {}, versions back {}, crashes {}, scattered {}",
             self.requests,
             self.served,
             self.unknown,
@@ -117,6 +130,8 @@
             self.lost_responses,
             self.late_crash_runs,
             self.wrongly_quarantined,
+            self.limits_exceeded,
+            self.arrived_after_leaving,
             self.reverts,
             self.crashes,
             self.not_converged
@@ -136,6 +151,7 @@
         ..ProxySoakReport::default()
     };
     check_arrivals(&observations, &mut report);
+    check_endpoint_rules(&observations, &mut report);
     report.late_crash_runs =
         crashing::late_runs(&observations.arrivals, &observations.records, &observations.fault_periods);
     let mut runs: Vec<&str> =
@@ -214,6 +230,32 @@
     }
 }
 
+/// Checks what endpoints asked for in their answers.
+fn check_endpoint_rules(observations: &Observations, report: &mut ProxySoakReport) {
+    let to_caller_record = |it: &Record| CallerRecord {
+        request_id: it.request_id.clone(),
+        proxy: it.proxy,
+        sent: it.sent,
+        ended: it.ended,
+        notice: it.notice.clone(),
+    };
+    let records: Vec<_> = observations.records.iter().map(to_caller_record).collect();
+    let endpoints = observations.arrivals.iter().zip(&observations.limits).enumerate();
+    let endpoints: Vec<_> = endpoints
+        .map(|(proxy, (arrivals, limits))| EndpointRecord {
+            arrivals: arrivals.clone(),
+            limits: limits.clone(),
+            path_faults: observations.endpoint_path_faults.iter().filter(|it| it.proxy == proxy).copied().collect(),
+        })
+        .collect();
+    let rules = EndpointRules::new(&records, &endpoints, &observations.restarts);
+    let (exceeded, late) = (rules.limits_exceeded(), rules.arrived_after_leaving());
+    report.limits_exceeded = exceeded.len();
+    report.arrived_after_leaving = late.len();
+    exceeded.iter().for_each(|it| report.add_violation("limit exceeded", it));
+    late.iter().for_each(|it| report.add_violation("arrived after leaving", it));
+}
+
 fn was_draining(draining_periods: &[DrainingPeriod], proxy: usize, at: Instant) -> bool {
     let covers = |it: &DrainingPeriod| it.from + DRAIN_TIME < at && it.to.is_none_or(|to| at < to);
     draining_periods.iter().any(|it| it.proxy == proxy && covers(it))
--- a/standins/src/platform/soak/promises/tests.rs
+++ b/standins/src/platform/soak/promises/tests.rs
@@ -5,13 +5,14 @@
 use super::{
     DisturbedPeriod, DrainingPeriod, FaultPeriod, Observations, Outcome, ProxySoakReport, Record, check, crashing,
 };
-use crate::platform::endpoint::Arrival;
+use crate::platform::{endpoint::Arrival, endpoint_rules::AnswerNotice};
 
 const SECOND: Duration = Duration::from_secs(1);
 
 fn record(outcome: Outcome, start: Instant) -> Record {
     let (request_id, method_and_target) = ("a-1".to_owned(), "POST /write/1".to_owned());
-    Record { request_id, idempotent: false, proxy: 0, method_and_target, sent: start, ended: start + SECOND, outcome }
+    let (ended, notice) = (start + SECOND, AnswerNotice::default());
+    Record { request_id, idempotent: false, proxy: 0, method_and_target, sent: start, ended, outcome, notice }
 }
 
 fn arrival(at: Instant) -> Arrival {
@@ -19,6 +20,7 @@
         request_id: "a-1".to_owned(),
         method_and_target: "POST /write/1".to_owned(),
         instance: "i-1".into(),
+        misdirected: false,
         caller: "desk".to_owned(),
         deadline_ms: 2_000,
         body: b"a-1".to_vec(),
@@ -39,6 +41,9 @@
         services: vec!["desk".to_owned()],
         disturbances: Vec::new(),
         fault_periods: Vec::new(),
+        limits: vec![Vec::new()],
+        restarts: Vec::new(),
+        endpoint_path_faults: Vec::new(),
         draining_periods: Vec::new(),
         reverts: 0,
         crashes: 0,
--- a/standins/tests/endpoint_notices.rs
+++ b/standins/tests/endpoint_notices.rs
@@ -9,7 +9,7 @@
 
 use rstest::rstest;
 use standins::platform::{
-    endpoint_rules::{CallerRecord, EndpointRecord, EndpointRules, Excuse},
+    endpoint_rules::{AnswerNotice, CallerRecord, EndpointRecord, EndpointRules, ProxyFault},
     fixtures::{caller_request, two_routes},
     site::Site,
 };
@@ -44,9 +44,8 @@
         let sent = Instant::now();
         // The connection ends while the proxy restarts.
         let answer = caller_request(&line, &request_id).send_and_read(callers);
-        let named_limit = answer.as_ref().is_ok_and(|it| it.header("server-limit").is_some());
-        let said_leaving = answer.as_ref().is_ok_and(|it| it.header("server-leaving").is_some());
-        records.push(CallerRecord { request_id, proxy, sent, ended: Instant::now(), named_limit, said_leaving });
+        let notice = answer.map(|it| AnswerNotice::of(&it)).unwrap_or_default();
+        records.push(CallerRecord { request_id, proxy, sent, ended: Instant::now(), notice });
         thread::sleep(PAUSE);
     }
     records
@@ -72,8 +71,11 @@
 
 fn endpoint_records(site: &Site) -> Vec<EndpointRecord> {
     let endpoints = site.proxies.iter().map(|it| &it.endpoint);
-    let records =
-        endpoints.map(|it| EndpointRecord { arrivals: it.arrivals(), limits: it.named_limits(), held_up: Vec::new() });
+    let records = endpoints.map(|it| EndpointRecord {
+        arrivals: it.arrivals(),
+        limits: it.named_limits(),
+        path_faults: Vec::new(),
+    });
     records.collect()
 }
 
@@ -98,7 +100,7 @@
 #[test]
 fn a_limit_binds_over_kills_of_the_guard() {
     let mut site = start_site();
-    let mut excuses = Vec::new();
+    let mut restarts = Vec::new();
 
     let records = under_load(&mut site, |site| {
         thread::sleep(Duration::from_secs(1));
@@ -107,14 +109,14 @@
         for _ in 0..3 {
             let from = Instant::now();
             site.proxies[0].restart().expect("the proxy starts again");
-            excuses.push(Excuse { proxy: 0, from, to: Instant::now() });
+            restarts.push(ProxyFault { proxy: 0, from, to: Some(Instant::now()) });
             thread::sleep(Duration::from_millis(1_500));
         }
         thread::sleep(Duration::from_secs(2));
     });
 
     let endpoints = endpoint_records(&site);
-    let exceeded = EndpointRules::new(&records, &endpoints, &excuses).limits_exceeded();
+    let exceeded = EndpointRules::new(&records, &endpoints, &restarts).limits_exceeded();
     assert!(exceeded.is_empty(), "{exceeded:#?}");
 }
 
@@ -125,7 +127,7 @@
     #[case] kills: u32,
 ) {
     let mut site = start_site();
-    let mut excuses = Vec::new();
+    let mut restarts = Vec::new();
 
     let records = under_load(&mut site, |site| {
         thread::sleep(Duration::from_secs(1));
@@ -134,14 +136,14 @@
         for _ in 0..kills {
             let from = Instant::now();
             site.proxies[0].restart().expect("the proxy starts again");
-            excuses.push(Excuse { proxy: 0, from, to: Instant::now() });
+            restarts.push(ProxyFault { proxy: 0, from, to: Some(Instant::now()) });
             thread::sleep(Duration::from_millis(1_500));
         }
         thread::sleep(Duration::from_secs(2));
     });
 
     let endpoints = endpoint_records(&site);
-    let late = EndpointRules::new(&records, &endpoints, &excuses).arrived_after_leaving();
+    let late = EndpointRules::new(&records, &endpoints, &restarts).arrived_after_leaving();
     assert!(late.is_empty(), "{} requests arrived late, the first: {:?}", late.len(), late.first());
     assert!(!endpoints[1].arrivals.is_empty(), "the other endpoint serves");
 }
--- a/standins/tests/proxy_soak.rs
+++ b/standins/tests/proxy_soak.rs
@@ -8,20 +8,29 @@
 /// Seed 23 covers an endpoint that waits for the acknowledgement of a paused proxy; seed 865 covers SIGHUP to a
 /// proxy that has just been started.
 #[rstest]
-#[case(3, 12, false, false)]
-#[case(8, 12, false, false)]
-#[case(23, 12, false, false)]
-#[case(31, 12, true, false)]
-#[case(32, 12, true, true)]
-#[case::proxy_soak_seed_865(865, 20, false, false)]
+#[case(3, 12, false, false, false)]
+#[case(8, 12, false, false, false)]
+#[case(23, 12, false, false, false)]
+#[case(31, 12, true, false, false)]
+#[case(32, 12, true, true, false)]
+#[case(41, 25, false, false, true)]
+#[case::proxy_soak_seed_865(865, 20, false, false, false)]
 fn proxy_checks_pass_under_random_faults(
     #[case] seed: u64,
     #[case] seconds: u64,
     #[case] crashing: bool,
     #[case] restoring: bool,
+    #[case] notices: bool,
 ) {
-    let options =
-        SoakOptions { seed, duration: Duration::from_secs(seconds), proxies: 6, crashing, restoring, verbose: false };
+    let options = SoakOptions {
+        seed,
+        duration: Duration::from_secs(seconds),
+        proxies: 6,
+        crashing,
+        restoring,
+        notices,
+        verbose: false,
+    };
 
     let report = soak::run(&options).expect("the fleet starts");
 
