Daemon: an endpoint may announce a rate limit, which its guard enforces

Requests started at a daemon's endpoints as fast as slots came free, as on the users' platform; the program's own interface had no way to name a limit. Endpoints of that interface say such things in their announcements, so that is where the limit stands: a daemon that restarts has no endpoint before it has its limit.

The admission controller starts a request only if the limit allows it, and refuses at once one that would start too late.

--- a/src/daemon/guard.rs
+++ b/src/daemon/guard.rs
@@ -16,7 +16,7 @@
     daemon::{endpoint, http_client::Client},
     decide::{
         AdmissionController, AdmissionDecision, AdmissionRequest, EjectionConfig, EndpointEvent, EndpointHealth,
-        Sample, WaiterDecision, WaiterId, failure_level,
+        Sample, WaiterDecision, WaiterId, failure_level, rate_limit::RequestRate,
     },
     rows::{EndpointId, EndpointRow, EndpointState, Incarnation},
     targets::EjectionPreference,
@@ -29,6 +29,8 @@
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long an endpoint that is gone stays listed after its last announcement.
 const GONE_RETENTION: Duration = Duration::from_secs(30);
+/// How often the waiters of an endpoint with a rate limit check whether the next one may start.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// A request with less time left than this is not sent to the endpoint.
 const MIN_BUDGET: Duration = Duration::from_millis(1);
 
@@ -47,6 +49,9 @@
     /// The load that it reports. The guard doesn't use it.
     #[serde(default)]
     pub load: u32,
+    /// The requests a second that it takes from all daemons together; absent for any number.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<RequestRate>,
 }
 
 /// Whether an endpoint accepts requests, as it announces itself.
@@ -132,6 +137,7 @@
         endpoint.slots = announcement.slots;
         endpoint.service = announcement.service.clone();
         endpoint.admission.set_slots(announcement.slots);
+        endpoint.set_limit(announcement.limit, now);
         let event = match announcement.state {
             AnnouncedState::Starting => EndpointEvent::AnnouncedStarting,
             AnnouncedState::Serving => EndpointEvent::AnnouncedServing,
@@ -251,7 +257,7 @@
                 AdmissionDecision::Queue => endpoint.waiters.push((id, tx)),
             }
         }
-        let received = rx.recv_deadline(deadline).ok();
+        let received = self.wait_for_decision(&dispatch.endpoint, &rx, deadline);
         match received.unwrap_or_else(|| self.cancel_waiter(&dispatch.endpoint, id, &rx)) {
             AdmissionDecision::Admit => Ok(()),
             AdmissionDecision::Refuse(refusal) => Err(refusal),
@@ -259,6 +265,35 @@
         }
     }
 
+    /// Waits for the decision on a waiter; `None` if it has not come by `deadline`. A free slot is given to a waiter when a
+    /// request ends; when the endpoint's rate limit lets the next one start, the waiters find out by themselves.
+    fn wait_for_decision(
+        &self,
+        endpoint: &str,
+        rx: &crossbeam::channel::Receiver<AdmissionDecision>,
+        deadline: Instant,
+    ) -> Option<AdmissionDecision> {
+        loop {
+            let is_limited = {
+                let inner = lock(&self.inner);
+                inner.find(endpoint).is_some_and(|at| inner.endpoints[at].admission.limit().is_some())
+            };
+            let until = if is_limited { deadline.min(Instant::now() + LIMIT_CHECK_INTERVAL) } else { deadline };
+            if let Ok(it) = rx.recv_deadline(until) {
+                return Some(it);
+            }
+            if until == deadline {
+                return None;
+            }
+            let mut inner = lock(&self.inner);
+            let Some(at) = inner.find(endpoint) else { continue };
+            let endpoint = &mut inner.endpoints[at];
+            for decision in endpoint.admission.admit_waiters(Instant::now()) {
+                endpoint.deliver_decision(Some(decision));
+            }
+        }
+    }
+
     /// Removes a waiter whose deadline has passed; returns its decision if one was sent meanwhile.
     fn cancel_waiter(
         &self,
@@ -354,6 +389,17 @@
         }
     }
 
+    /// Sets the rate limit that the endpoint announced.
+    fn set_limit(&mut self, limit: Option<RequestRate>, now: Instant) {
+        let before = self.admission.limit();
+        self.admission.set_limit(limit, now);
+        if limit != before {
+            let text = |it: Option<RequestRate>| it.map_or_else(|| "none".to_owned(), |it| f64::from(it).to_string());
+            let (before, after) = (text(before), text(limit));
+            log::info!(endpoint = &*self.id, before = &*before, after = &*after; "endpoint rate limit changed");
+        }
+    }
+
     /// Applies an event and refuses the waiters if the endpoint accepts no more requests; returns whether its state
     /// changed.
     fn handle(&mut self, event: EndpointEvent, now: Instant) -> bool {
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::rate_limit::{EndpointLimit, LimitStatement, RequestRate};
 use crate::{targets::Importance, wire::Refusal};
 
 /// Identifies a request in the queue of one [`AdmissionController`].
@@ -58,12 +59,14 @@
     mean: f64,
     /// Running mean of the absolute deviation of service times from `mean`, in seconds.
     deviation: f64,
+    /// Bounds how many requests start, as the slots bound how many run.
+    limit: EndpointLimit,
 }
 
 impl AdmissionController {
     /// Creates the controller of an idle endpoint with `slots` slots.
     pub fn new(slots: u16) -> Self {
-        Self { slots, running: 0, queue: Vec::new(), mean: 0.0, deviation: 0.0 }
+        Self { slots, running: 0, queue: Vec::new(), mean: 0.0, deviation: 0.0, limit: EndpointLimit::default() }
     }
 
     /// Changes the number of slots; running requests keep theirs.
@@ -71,6 +74,16 @@
         self.slots = slots;
     }
 
+    /// The rate limit in force.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.rate()
+    }
+
+    /// Changes the rate limit; `None` for no limit.
+    pub fn set_limit(&mut self, limit: Option<RequestRate>, now: Instant) {
+        self.limit.record_answer(limit.map_or(LimitStatement::None, LimitStatement::Limit), now, now);
+    }
+
     /// Number of running and queued requests.
     pub fn load(&self) -> u32 {
         u32::from(self.running) + self.queue.len() as u32
@@ -91,12 +104,13 @@
 
     /// Admits, queues or refuses a request. Also returns the refusal of the waiter that it evicted, if any.
     pub fn admit(&mut self, req: AdmissionRequest, now: Instant) -> (AdmissionDecision, Option<WaiterDecision>) {
-        if self.running < self.slots && self.queue.is_empty() {
+        if self.running < self.slots && self.queue.is_empty() && self.limit.allows(now) {
             self.running += 1;
+            self.limit.record_start(now);
             return (AdmissionDecision::Admit, None);
         }
         let at = self.queue.partition_point(|it| !runs_before(&req, it));
-        if now + self.expected_time(at) > req.deadline {
+        if now + self.expected_time(at, now) > req.deadline {
             return (AdmissionDecision::Refuse(Refusal::TooLate), None);
         }
         if at >= self.queue_limit() {
@@ -136,20 +150,24 @@
     /// Gives free slots to waiters in queue order, and refuses those that would miss their deadline.
     pub fn admit_waiters(&mut self, now: Instant) -> Vec<WaiterDecision> {
         let mut decisions = Vec::new();
-        while self.running < self.slots && !self.queue.is_empty() {
+        while self.running < self.slots && !self.queue.is_empty() && self.limit.allows(now) {
             let first = self.queue.remove(0);
             let in_time = now + self.service_time_bound() <= first.deadline;
             let decision = if in_time { AdmissionDecision::Admit } else { AdmissionDecision::Refuse(Refusal::TooLate) };
-            self.running += u16::from(in_time);
+            if in_time {
+                self.running += 1;
+                self.limit.record_start(now);
+            }
             decisions.push(WaiterDecision { id: first.id, decision });
         }
         decisions
     }
 
     /// Expected time until a request at queue index `at` is answered: its wait and its service time.
-    fn expected_time(&self, at: usize) -> Duration {
+    fn expected_time(&self, at: usize, now: Instant) -> Duration {
         let rounds = (at + 1) as f64 / f64::from(self.slots.max(1));
-        Duration::from_secs_f64(rounds * self.mean) + self.service_time_bound()
+        let wait = Duration::from_secs_f64(rounds * self.mean).max(self.limit.delay(at + 1, now));
+        wait + self.service_time_bound()
     }
 
     /// Upper bound of nearly all service times.
--- a/standins/src/endpoint.rs
+++ b/standins/src/endpoint.rs
@@ -130,6 +130,7 @@
             slots: self.options.slots,
             state,
             load,
+            limit: None,
         };
         let body = serde_json::to_vec(&announcement).expect("an announcement can be encoded");
         // A lost announcement is repeated after the interval.
--- a/standins/src/idle.rs
+++ b/standins/src/idle.rs
@@ -181,6 +181,7 @@
                     slots: 7,
                     state: AnnouncedState::Serving,
                     load: 0,
+                    limit: None,
                 };
                 let body = serde_json::to_vec(&announcement).expect("an announcement can be encoded");
                 // An error is expected from a killed daemon.
--- a/tests/daemon_decisions.rs
+++ b/tests/daemon_decisions.rs
@@ -44,6 +44,41 @@
     assert_eq!(order, [3, 2, 1]);
 }
 
+#[test]
+fn an_endpoint_starts_no_more_requests_than_its_rate_limit_allows() {
+    let start = Instant::now();
+    let mut controller = AdmissionController::new(4);
+    controller.set_limit(Some(2.0.try_into().expect("the rate is valid")), start);
+    let mut started = 0;
+
+    for tick in 0..1_000_u32 {
+        let now = start + Duration::from_millis(10) * tick;
+        let (decision, _) = controller.admit(request(u64::from(tick), 50, now + SECOND), now);
+        let admitted =
+            controller.admit_waiters(now).iter().filter(|it| it.decision == AdmissionDecision::Admit).count();
+        let starts = usize::from(decision == AdmissionDecision::Admit) + admitted;
+        for _ in 0..starts {
+            let also = controller.release_slot(Duration::from_millis(1), now);
+            assert!(also.iter().all(|it| it.decision != AdmissionDecision::Admit), "the rate binds, not the slots");
+        }
+        started += starts;
+    }
+
+    assert!((19..=22).contains(&started), "{started} requests started in 10 s at 2 a second");
+}
+
+#[test]
+fn a_request_that_the_rate_limit_lets_start_too_late_is_refused_at_once() {
+    let now = Instant::now();
+    let mut controller = AdmissionController::new(4);
+    controller.set_limit(Some(0.5.try_into().expect("the rate is valid")), now);
+    controller.admit(request(0, 50, now + SECOND), now);
+
+    let (decision, _) = controller.admit(request(1, 50, now + SECOND), now);
+
+    assert_eq!(decision, AdmissionDecision::Refuse(Refusal::TooLate));
+}
+
 #[test]
 fn a_full_queue_evicts_its_least_important_entry() {
     let now = Instant::now();
