--- a/src/explain.rs
+++ b/src/explain.rs
@@ -115,6 +115,11 @@
         }
         "answered" => describe_endpoint_failure(id, status, failed, about, all),
         "full" => describe_missing_grant(answer, about),
+        "rate-limited" => format!(
+            "The rate limits of {}'s endpoints let it start at none of the {} that were asked in time. It has not run.",
+            answer.text("service"),
+            answer.number("asked")
+        ),
         "quarantined" => {
             let fingerprint = answer.text("quarantined");
             format!("It was held back: {} It has not run.", describe_ended_endpoints(fingerprint, about))
@@ -183,7 +188,7 @@
         |why: &str| about.iter().filter(|it| &*it.event == "no-place" && it.text("why") == why).count();
     format!(
         "No place became free in {} ms at {}: of {} guards asked, {} had an endpoint that recently failed or declined \
-         requests, {} had none that accepts requests, {} had exhausted the retry budget; the others' queues did not move \
+         requests, {} had none that accepts requests, {} had exhausted the retry budget, {} had reached the rate limit that its endpoint names; the others' queues did not move \
          in time. It has not run.",
         answer.number("waited_ms"),
         answer.text("service"),
@@ -191,6 +196,7 @@
         count_refusals("Suspect"),
         count_refusals("Elsewhere"),
         count_refusals("NoAllowance"),
+        count_refusals("RateLimited"),
     )
 }
 
@@ -244,7 +250,15 @@
         Some(it) => format!("{} since request {} ({})", it.text("standing"), it.text("request"), it.text("why")),
         None => "never suspect".to_owned(),
     };
-    format!("Endpoint {id}: last {phase}; {standing}.")
+    let last_limit = about.iter().rev().find(|it| &*it.event == "limit");
+    let limit = match last_limit.map(|it| (it.fields.get("rate").and_then(Value::as_f64), it)) {
+        Some((Some(rate), it)) => {
+            format!(" It named a limit of {rate} requests a second ({} {}).", it.text("source"), it.text("request"))
+        }
+        Some((None, _)) => " It no longer names a rate limit.".to_owned(),
+        None => String::new(),
+    };
+    format!("Endpoint {id}: last {phase}; {standing}.{limit}")
 }
 
 fn config_cause(version: u64, about: &[EventLine], all: &[EventLine]) -> String {
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -202,6 +202,19 @@
         resp.and_then(|it| serde_json::from_slice(&it.body).ok()).unwrap_or(Value::Null)
     }
 
+    /// Metrics as Prometheus text; empty if the proxy doesn't respond.
+    pub fn metrics_text(&self) -> String {
+        let req = CallerRequest {
+            method_and_target: "GET /metrics",
+            host: "metrics",
+            request_id: "",
+            deadline: WAIT_TIMEOUT,
+            body: b"",
+        };
+        let resp = req.send_and_read(self.metrics).ok();
+        resp.map_or_else(String::new, |it| String::from_utf8_lossy(&it.body).into_owned())
+    }
+
     /// Number of endpoints in its status, its own included.
     pub fn known_endpoints(&self) -> usize {
         let status = self.status();
