Guard: a report about a former incarnation revokes no grants; reservations report limits only

A report that an incarnation is leaving which is not the guard's current endpoint only retires that incarnation; before, it also revoked the current endpoint's unused grants. The check for waiters that start too late is left out at endpoints without a limit, where it can remove nothing.

--- a/src/daemon/guard.rs
+++ b/src/daemon/guard.rs
@@ -265,8 +265,8 @@
         }
     }
 
-    /// Waits for the decision on a waiter; `None` if it has not come by `deadline`. A free slot is given to a waiter when a
-    /// request ends; when the endpoint's rate limit lets the next one start, the waiters find out by themselves.
+    /// Waits for the decision on a waiter; `None` if it has not come by `deadline`. A free slot is given to a waiter
+    /// when a request ends; when the endpoint's rate limit lets the next one start, the waiters find out by themselves.
     fn wait_for_decision(
         &self,
         endpoint: &str,
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -1,8 +1,8 @@
 //! Decides how many requests may start at an endpoint that names a rate limit in its answers. Slots bound how many
 //! requests run, not how many start: short requests, and those that the endpoint declines, free their slots at once.
 //!
-//! Each start takes a token from a bucket. In any window of `t` seconds at most `rate * t` requests plus the bucket's size
-//! start, and one more for each restart of the guard within the window.
+//! Each start takes a token from a bucket. In any window of `t` seconds at most `rate * t` requests plus the bucket's
+//! size start, and one more for each restart of the guard within the window.
 
 use std::time::{Duration, Instant};
 
@@ -77,8 +77,8 @@
     bucket: Option<TokenBucket>,
     /// When the last answer that named a limit arrived.
     named_at: Option<Instant>,
-    /// Whether an answer of the endpoint stated its limit, or that it has none. Reports of other proxies no longer count
-    /// then.
+    /// Whether an answer of the endpoint stated its limit, or that it has none. Reports of other proxies no longer
+    /// count then.
     confirmed: bool,
 }
 
@@ -176,8 +176,8 @@
     }
 }
 
-/// The bucket's size at a limit of `rate`; at a limit of zero it holds the token of a request that finds out whether the
-/// limit has ended.
+/// The bucket's size at a limit of `rate`; at a limit of zero it holds the token of a request that finds out whether
+/// the limit has ended.
 fn capacity(rate: RequestRate) -> f64 {
     1.0 + rate.0 * BURST_SECONDS
 }
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -101,8 +101,8 @@
         Some(self.waiters.remove(at))
     }
 
-    /// Removes and returns a waiter that would start too late if `delay(n)` is the time until the n-th of the waiters may
-    /// start.
+    /// Removes and returns a waiter that would start too late if `delay(n)` is the time until the n-th of the waiters
+    /// may start.
     pub fn remove_too_late(&mut self, now: Instant, delay: impl Fn(usize) -> Duration) -> Option<Waiter> {
         let mut order: Vec<usize> = (0..self.waiters.len()).collect();
         order.sort_by_key(|it| start_order(&self.waiters[*it], now));
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -188,8 +188,8 @@
         |why: &str| about.iter().filter(|it| &*it.event == "no-place" && it.text("why") == why).count();
     format!(
         "No place became free in {} ms at {}: of {} guards asked, {} had an endpoint that recently failed or declined \
-         requests, {} had none that accepts requests, {} had exhausted the retry budget, {} had reached the rate limit that its endpoint names; the others' queues did not move \
-         in time. It has not run.",
+         requests, {} had none that accepts requests, {} had exhausted the retry budget, {} had reached the rate limit of \
+         their endpoint; the others' queues did not move in time. It has not run.",
         answer.number("waited_ms"),
         answer.text("service"),
         answer.number("asked"),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -93,8 +93,8 @@
     header_str(headers, &INSTANCE_ID)
 }
 
-/// Returns what a response states about its endpoint's rate limit. The lowest of several limits counts; if one of them is
-/// malformed, the response states nothing.
+/// Returns what a response states about its endpoint's rate limit. The lowest of several limits counts; if one of them
+/// is malformed, the response states nothing.
 pub fn limit_statement(headers: &HeaderMap) -> LimitStatement {
     let mut lowest: Option<RequestRate> = None;
     for value in headers.get_all(SERVER_LIMIT) {
--- a/src/platform/health.rs
+++ b/src/platform/health.rs
@@ -27,8 +27,8 @@
 }
 
 /// Checks the health of the endpoint at `address`, at `path` or the default path. Returns `None` if no response comes
-/// within `timeout` or it lacks its incarnation, and unless it is leaving, if the response lacks its slots or has another
-/// status than 200.
+/// within `timeout` or it lacks its incarnation, and unless it is leaving, if the response lacks its slots or has
+/// another status than 200.
 pub async fn probe_health(address: SocketAddr, path: Option<&str>, timeout: Duration) -> Option<HealthReply> {
     let path = path.unwrap_or(DEFAULT_HEALTH_PATH);
     match proxy::call(address, Method::GET, path, Bytes::new(), timeout).await {
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -186,7 +186,8 @@
         self.guard.handle_health_notice(&name, limit, sent);
     }
 
-    /// Checks the endpoint's health at intervals while its limit is too low to learn its end from answers. Never returns.
+    /// Checks the endpoint's health at intervals while its limit is too low to learn its end from answers. Never
+    /// returns.
     async fn check_low_limit(self: Rc<Self>) {
         loop {
             sleep(HEALTH_CHECK_INTERVAL).await;
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -78,8 +78,8 @@
         Self { limit: platform::limit_statement(headers), leaving: platform::is_leaving(headers) }
     }
 
-    /// The notice in the headers of an answer to the request `request_id`; `None` if it may come from another process or
-    /// incarnation, or answer another request.
+    /// The notice in the headers of an answer to the request `request_id`; `None` if it may come from another process
+    /// or incarnation, or answer another request.
     fn from_answer(status: StatusCode, headers: &HeaderMap, request_id: &str) -> Option<Self> {
         let is_other_request = platform::request_id(headers).is_some_and(|it| *it != *request_id);
         let not_executed = platform::not_executed(headers);
--- a/src/proxy/endpoint_reports.rs
+++ b/src/proxy/endpoint_reports.rs
@@ -1,8 +1,8 @@
 //! What the endpoints of other proxies said about themselves in answers that this proxy passed on.
 //!
-//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it. So each of
-//! them reports it with its next reservation, before the guard issues a grant, and sends an endpoint that is leaving no
-//! more requests, whatever the guard's row says.
+//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it. So
+//! each of them reports it with its next reservation, before the guard issues a grant, and sends an endpoint that is
+//! leaving no more requests, whatever the guard's row says.
 
 use std::time::{Duration, Instant};
 
@@ -26,8 +26,8 @@
 }
 
 impl EndpointReports {
-    /// Records what an answer of `endpoint`, on the VM of the proxy `name`, states. `listed` is the endpoint of that proxy
-    /// by the directory: an answer of a former one does not replace what the listed one said.
+    /// Records what an answer of `endpoint`, on the VM of the proxy `name`, states. `listed` is the endpoint of that
+    /// proxy by the directory: an answer of a former one does not replace what the listed one said.
     pub(super) fn record_answer(
         &mut self,
         name: &str,
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -1,7 +1,7 @@
 //! Gossip between proxies: status updates, directory rows and new configuration versions.
 //!
-//! A proxy sends changes of its endpoint, the endpoint's standing and its limit to its linked peers. Rows of other proxies spread
-//! by an anti-entropy exchange with one peer a second; only this traffic grows with the fleet.
+//! A proxy sends changes of its endpoint, the endpoint's standing and its rate limit to its linked peers. Rows of other
+//! proxies spread by an anti-entropy exchange with one peer a second; only this traffic grows with the fleet.
 
 use std::{rc::Rc, time::Duration};
 
@@ -137,7 +137,8 @@
         self.members_changed.notify_one();
     }
 
-    /// Sends a hello at once, then hellos and status updates as requested on `link`, to the proxy `name`. Never returns.
+    /// Sends a hello at once, then hellos and status updates as requested on `link`, to the proxy `name`. Never
+    /// returns.
     pub(super) async fn send_updates(self: &Rc<Self>, name: &str, link: &Rc<Link>) {
         link.request_hello();
         loop {
--- a/src/proxy/guard/announcements.rs
+++ b/src/proxy/guard/announcements.rs
@@ -209,7 +209,7 @@
 
 /// Remembers that an incarnation is over. If its start time is unknown, all incarnations under its name that started
 /// before now are over.
-fn retire_incarnation(state: &mut GuardState, id: EndpointId) {
+pub(super) fn retire_incarnation(state: &mut GuardState, id: EndpointId) {
     if state.retired.len() >= MAX_RETIRED {
         state.retired.remove(0);
     }
--- a/src/proxy/guard/notices.rs
+++ b/src/proxy/guard/notices.rs
@@ -7,7 +7,7 @@
 
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{Endpoint, EndpointPhase, Guard};
+use super::{Endpoint, EndpointPhase, Guard, announcements};
 use crate::{
     decide::{
         incarnation::{EndpointId, is_retired},
@@ -86,15 +86,15 @@
 
     /// Marks the endpoint `id` as leaving because of what it said, unless that is known.
     fn leave_by_notice(self: &Rc<Self>, id: &EndpointId, why: &str) {
-        let state = self.state.borrow();
-        let current = state.endpoint.as_ref().filter(|it| it.announcement.id == *id);
-        let is_known = match current {
-            Some(it) => it.announcement.phase == EndpointPhase::Leaving,
-            None => is_retired(&state.retired, id),
-        };
-        drop(state);
-        if !is_known {
-            self.mark_leaving(id, why);
+        let mut state = self.state.borrow_mut();
+        match state.endpoint.as_ref().filter(|it| it.announcement.id == *id) {
+            Some(it) if it.announcement.phase == EndpointPhase::Leaving => (),
+            Some(_) => {
+                drop(state);
+                self.mark_leaving(id, why);
+            }
+            None if is_retired(&state.retired, id) => (),
+            None => announcements::retire_incarnation(&mut state, id.clone()),
         }
     }
 
--- a/src/proxy/guard/reservations.rs
+++ b/src/proxy/guard/reservations.rs
@@ -207,7 +207,7 @@
             let reason = refusal(&waiter).expect("the waiter was removed because it has a refusal");
             refused.push((waiter, reason));
         }
-        if let Some(endpoint) = serving {
+        if let Some(endpoint) = serving.filter(|it| it.limit.rate().is_some()) {
             while let Some(waiter) = queue.remove_too_late(now, |starts| endpoint.limit.delay(starts, now)) {
                 metrics::counter!("jayreach_rate_limit_refusals_total").increment(1);
                 refused.push((waiter, GrantRefusal::RateLimited));
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -67,7 +67,8 @@
 /// Why the guards refused one reservation.
 #[derive(Debug, Default)]
 struct Refusals {
-    /// The shortest time until a request may start at one of the endpoints whose rate limit doesn't let it start in time.
+    /// The shortest time until a request may start at one of the endpoints whose rate limit doesn't let it start in
+    /// time.
     start_delay: Option<Duration>,
     /// Whether a guard refused for another reason, which may have passed when it is asked again.
     any_other: bool,
@@ -347,7 +348,7 @@
             rank: req.rank,
             start_within: start_deadline.saturating_duration_since(clock::now()),
             worst_standing: worst_accepted,
-            endpoint_report: self.endpoint_report(guard.name(self)),
+            endpoint_report: self.endpoint_report(guard.name(self)).filter(|it| it.limit.is_some()),
         };
         let link = match guard {
             GuardRef::Local => {
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -135,8 +135,8 @@
 }
 
 impl EndpointReport {
-    /// Whether this may be about the incarnation `id`; `now` is the current time in Unix milliseconds. If a start time is
-    /// unknown, the endpoint may have restarted under its name since.
+    /// Whether this may be about the incarnation `id`; `now` is the current time in Unix milliseconds. If a start time
+    /// is unknown, the endpoint may have restarted under its name since.
     pub fn may_be_about(&self, id: &EndpointId, now: UnixMillis) -> bool {
         let said_at = now.saturating_sub(UnixMillis::try_from(self.age.as_millis()).unwrap_or(UnixMillis::MAX));
         self.endpoint.name == id.name
@@ -199,8 +199,8 @@
     #[serde(default)]
     #[serde(rename = "case")]
     pub crash_record: CrashRecord,
-    /// Whether the refusal in `result` is [`GrantRefusal::RateLimited`], which proxies of earlier releases can't decode;
-    /// these get `NotServed`.
+    /// Whether the refusal in `result` is [`GrantRefusal::RateLimited`], which proxies of earlier releases can't
+    /// decode; these get `NotServed`.
     #[serde(default)]
     pub is_rate_limited: bool,
 }
--- a/src/proxy/peer_link.rs
+++ b/src/proxy/peer_link.rs
@@ -331,8 +331,8 @@
         ((load + self.reserve_requests.get()) as f32 * (-age).exp2()).round() as u32
     }
 
-    /// The estimated time until a request may start at the peer's endpoint, whose limit is `rate`: as last reported, and
-    /// later for each grant requested since.
+    /// The estimated time until a request may start at the peer's endpoint, whose limit is `rate`: as last reported,
+    /// and later for each grant requested since.
     pub(super) fn start_delay(&self, rate: RequestRate, now: Instant) -> Duration {
         let requested_since = f64::from(self.reserve_requests.get()) / f64::from(rate);
         let added = Duration::try_from_secs_f64(requested_since).unwrap_or_default();
--- a/standins/src/platform/endpoint_rules.rs
+++ b/standins/src/platform/endpoint_rules.rs
@@ -1,5 +1,5 @@
-//! Checks what endpoints ask for in their answers: that they get no more requests than the limits that they named, and no
-//! requests after they said that they are leaving. Bound are the proxies that passed such an answer on to a caller.
+//! Checks what endpoints ask for in their answers: that they get no more requests than the limits that they named, and
+//! no requests after they said that they are leaving. Bound are the proxies that passed such an answer on to a caller.
 
 use std::time::{Duration, Instant};
 
@@ -110,8 +110,8 @@
         Self { records, endpoints, restarts }
     }
 
-    /// Descriptions of the first window of each endpoint in which it got too many requests from proxies that had passed on
-    /// its limit.
+    /// Descriptions of the first window of each endpoint in which it got too many requests from proxies that had passed
+    /// on its limit.
     pub fn limits_exceeded(&self) -> Vec<String> {
         let passed_on = self.passed_on(|it| it.named_limit);
         self.endpoints.iter().filter_map(|it| self.limit_exceeded(it, &passed_on)).collect()
@@ -162,8 +162,8 @@
         PassedOn(times)
     }
 
-    /// When the proxy of an arrival's request last passed on an answer of the incarnation until `until`; `None` if it never
-    /// did, or has restarted since.
+    /// When the proxy of an arrival's request last passed on an answer of the incarnation until `until`; `None` if it
+    /// never did, or has restarted since.
     fn told_at(&self, arrival: &Arrival, passed_on: &PassedOn<'_>, until: Instant) -> Option<Instant> {
         let proxy = self.record(arrival)?.proxy;
         let told_at = passed_on.last(proxy, &arrival.instance, until)?;
--- a/standins/src/platform/soak/faults.rs
+++ b/standins/src/platform/soak/faults.rs
@@ -64,8 +64,8 @@
     Leave,
     /// The endpoint names this limit in its answers.
     Limit(&'static str),
-    /// The endpoint says in its answers that it is leaving, while its heartbeats say that it is ready; at the end another
-    /// incarnation replaces it.
+    /// The endpoint says in its answers that it is leaving, while its heartbeats say that it is ready; at the end
+    /// another incarnation replaces it.
     LeaveByAnswers,
     /// Another incarnation takes over the endpoint's address; the former one announces no end.
     Replace,
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -1,5 +1,5 @@
-//! The rate limit that an endpoint names: in any window, no more requests start than it allows, whatever the order of the
-//! answers and however often the guard restarts.
+//! The rate limit that an endpoint names: in any window, no more requests start than it allows, whatever the order of
+//! the answers and however often the guard restarts.
 
 use std::time::{Duration, Instant};
 
@@ -33,8 +33,8 @@
     starts.iter().enumerate().map(in_window).max().unwrap_or(0)
 }
 
-/// Requests that are always there, for 20 s, at an endpoint with this limit. The guard restarts at `restarts` and learns
-/// the limit from the next reservation. Returns when the requests start.
+/// Requests that are always there, for 20 s, at an endpoint with this limit. The guard restarts at `restarts` and
+/// learns the limit from the next reservation. Returns when the requests start.
 fn simulate(per_second: f64, restarts: &[u64]) -> Vec<Instant> {
     let start = Instant::now();
     let mut endpoint_limit = named(per_second, start);
