--- a/src/decide/detector.rs
+++ b/src/decide/detector.rs
@@ -89,7 +89,8 @@
     }
 }
 
-/// The evidence in nats that ejects an endpoint. A higher threshold causes fewer false ejections and slower detection.
+/// The evidence in nats that ejects an endpoint. A higher threshold causes fewer false ejections and slower detection;
+/// both values are points of the measured curve of the two, in docs/MEASUREMENTS.md, "Gray failure".
 pub fn ejection_threshold(weighs: EjectionPreference) -> f64 {
     match weighs {
         EjectionPreference::DetectionTime => 11.0,
--- a/src/decide/guard_retry_budget.rs
+++ b/src/decide/guard_retry_budget.rs
@@ -1,6 +1,9 @@
 //! One guard's part of a service's retry budget, as a token bucket: first arrivals add a share of a token, retries take
 //! one. It prevents retry storms when many endpoints fail or shed load. In any time window, a guard's retries are at
 //! most that share of its first arrivals plus the bucket size, so all guards together keep the limit without messages.
+//!
+//! A sliding window at each guard would not do: each guard would grant retries for the time when it had most requests,
+//! these times differ, and the sum would exceed the limit.
 
 use std::{
     num::NonZeroUsize,
--- a/src/decide/latest_start.rs
+++ b/src/decide/latest_start.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 /// Time reserved for a request, as a multiple of the mean service time of its class. Service times vary, so a reserve
-/// of one mean would let many requests end late.
+/// of one mean would let four in ten requests end late.
 const MEAN_FACTOR: f64 = 1.8;
 /// Divisor of the target latency that gives the time reserved for a class with unknown service time.
 const UNKNOWN_RESERVE_DIVISOR: u32 = 3;
--- a/src/decide/origin.rs
+++ b/src/decide/origin.rs
@@ -1,6 +1,11 @@
 //! Decides whether a request that a proxy receives on its VM comes from a caller or is a nested call of a request
 //! running at the VM's endpoint. Nested calls go first: a running request keeps its slot until they are answered, so
 //! without this rule endpoints with all slots taken would wait for each other.
+//!
+//! No request says which it is. But an endpoint makes calls only through the proxy of its VM, only while a request runs
+//! there, and a call expires no later than the request that makes it. So what expires later than all requests running
+//! here certainly comes from a caller. Many requests of a route that callers use are certain, none of one that only
+//! endpoints call; the guards of a service see all requests of a route, so they count these for the ingresses.
 
 use std::time::{Duration, Instant};
 
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -16,7 +16,8 @@
 const MIN_CLEAN_SHARE: f32 = 0.5;
 /// Random part of a score; ingresses with the same view would otherwise choose the same endpoint.
 const SCORE_JITTER: f32 = 0.15;
-/// Probability that a request that may be a trial is sent to a suspect first.
+/// Probability that a request that may be a trial is sent to a suspect first: often enough that each suspect of a
+/// service with some idempotent requests a second is tried about once a second.
 const TRIAL_PROBABILITY: f64 = 0.4;
 
 /// Probability that any other request also asks a suspect, which takes it only if it has had no trial for long.
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -1,5 +1,10 @@
 //! Decides which requests are quarantined because they crash the endpoints that run them. Otherwise one such request,
 //! sent again and again, takes down all endpoints of a service and fails all other requests running there.
+//!
+//! Endpoints also crash for other reasons, so all requests that ran at a crash are only suspect, and one suspect at a
+//! time may run at an endpoint: the next crash tells them apart. Crashes at the same time count once, since the one was
+//! not known yet when the requests of the other started. A quarantined request can't get a good answer, hence the few
+//! trials.
 
 use std::time::{Duration, Instant};
 
--- a/src/decide/shutdown.rs
+++ b/src/decide/shutdown.rs
@@ -17,7 +17,8 @@
 const FINAL_ANSWERS_BEFORE_END: Duration = Duration::from_millis(500);
 /// Time for sending the final answers.
 const FINAL_ANSWERS_SEND_TIME: Duration = Duration::from_millis(150);
-/// Share of the grace in which new requests are accepted; later ones could not be finished in time.
+/// Share of the grace in which new requests are accepted: the platform needs about two seconds to send callers
+/// elsewhere, and later requests could not be finished in time.
 const ACCEPT_SHARE: f64 = 0.45;
 /// Share of the grace within which requests at the endpoint must end. The endpoint outlives this process, so its guard
 /// keeps granting slots to requests that end in time.
--- a/src/decide/subset.rs
+++ b/src/decide/subset.rs
@@ -1,9 +1,12 @@
 //! Decides which guards an ingress keeps connections to, so that connections and updates don't grow with the square
 //! of the fleet.
+//!
+//! The choice is a rendezvous hash: each guard gets about as many ingresses as the others, and a proxy that leaves
+//! moves only the connections to it.
 
 use crate::util::mix;
 
-/// Guards of a service chosen in the ingress's own data centre.
+/// Guards of a service chosen in the ingress's own data centre: bytes between data centres are expensive.
 const SAME_DATA_CENTRE: usize = 5;
 /// Guards of a service chosen in total; the rest are in other data centres, as all guards of one may be failing or
 /// full.
--- a/src/decide/suspicion.rs
+++ b/src/decide/suspicion.rs
@@ -5,13 +5,15 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Good answers in a row that end a probation.
+/// Good answers in a row that end a probation. An endpoint that still fails three in four requests gets as many in 2 of
+/// 100 tries.
 const GOOD_ANSWERS_TO_CLEAR: u32 = 3;
-/// Soft failures in a row that make an endpoint suspect.
+/// Soft failures in a row that make an endpoint suspect. Healthy endpoints fail one request in a hundred, so two in a
+/// row are rare.
 const SOFT_FAILURES_TO_SUSPECT: u32 = 2;
 /// Backoff after the first failure: long enough that failures of requests already running don't extend it.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(300);
-/// The longest backoff between trials.
+/// The longest backoff between trials. A gray failure lasts for seconds, and each trial costs a retry.
 const MAX_BACKOFF: Duration = Duration::from_millis(900);
 /// A running trial blocks the next one for at most this long, so that one long request doesn't delay recovery.
 const TRIAL_SPACING: Duration = Duration::from_millis(500);
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -6,7 +6,8 @@
 
 use super::{fingerprint::Fingerprint, guard_retry_budget::Retry, suspicion::EndpointStanding};
 
-/// Slots given in a row to the most urgent requests while less urgent ones wait; the next slot goes to one of these.
+/// Slots given in a row to the most urgent requests while less urgent ones wait; the next slot goes to one of these. A
+/// ninth of the slots costs the urgent class little.
 const URGENT_IN_A_ROW: u32 = 8;
 
 /// Identifies a waiter in its queue.
--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -6,16 +6,19 @@
 
 use crate::util::mix;
 
-/// Watchers in each data centre, so that some reach the store when others are cut off.
+/// Watchers in each data centre, so that some reach the store when others are cut off: with one in three unable to, the
+/// chance that none can is 1 in 10^7 at five data centres.
 const WATCHERS_PER_DATA_CENTRE: usize = 3;
-/// Fewest watchers in a fleet with few data centres.
+/// Fewest watchers in a fleet with few data centres: with one in three unable to reach the store, none can in 1 of 700
+/// cases.
 const MIN_WATCHERS: usize = 6;
 /// The shortest watch. Watches are short because a connection can be lost without an error, and a change has to be
 /// active within two seconds after the store accepted it.
 const MIN_WAIT: Duration = Duration::from_millis(1_200);
 /// The longest watch.
 const MAX_WAIT: Duration = Duration::from_millis(2_000);
-/// Time after the end of a watch for the store's answer, before the connection counts as lost.
+/// Time after the end of a watch for the store's answer, before the connection counts as lost: the store usually
+/// answers within milliseconds, and much later when it is in trouble.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Age of the last confirmation from which more proxies watch: the longest watch, plus the time in which its result
 /// spreads through the fleet.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -13,7 +13,7 @@
     proxy::routes::{Cluster, Config, HealthPath, Idempotency, RequestLimits, Route, ServiceName, Version},
 };
 
-/// The object's `spec`, with each part as undecoded JSON.
+/// The object's `spec`, with each part as undecoded JSON: an invalid part must not invalidate the rest.
 #[derive(Debug, Deserialize)]
 struct Spec<'a> {
     /// Written as hexadecimal digits.
--- a/src/proxy/config_watch.rs
+++ b/src/proxy/config_watch.rs
@@ -21,7 +21,8 @@
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a starting proxy waits for the list of members, without which it would always watch.
 const MEMBERS_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// The pause after a change before the next watch, so that a quick series of changes costs few store calls.
+/// The pause after a change before the next watch, so that a quick series of changes costs few store calls. It must
+/// leave time for the next change to be active within two seconds.
 const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 
 /// How long a peer may take to answer a request to substitute.
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -27,8 +27,8 @@
 /// How long fetching a configuration from a peer may take. It must be active within two seconds, so another peer can be
 /// asked in time.
 const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// How many peers each proxy notifies of a new version. The few proxies missed get it after the next request or
-/// exchange.
+/// How many peers each proxy notifies of a new version. That reaches all but 2 in 100 proxies; these get it after the
+/// next request or exchange.
 const VERSION_FANOUT: usize = 4;
 /// The mean pause between anti-entropy exchanges. A change reaches hundreds of proxies in about six of them.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/proxy/net.rs
+++ b/src/proxy/net.rs
@@ -10,7 +10,7 @@
     time::timeout,
 };
 
-/// How many connections may wait to be accepted.
+/// How many connections may wait to be accepted, for a burst of callers.
 const BACKLOG: i32 = 1024;
 /// How long written bytes may stay unacknowledged. A second of packet loss is tolerated, and a cut is detected within
 /// two seconds.
--- a/src/proxy/quarantine_sync.rs
+++ b/src/proxy/quarantine_sync.rs
@@ -30,9 +30,10 @@
 /// Number of random peers that each proxy forwards a new crash record to. It reaches all but a few proxies in a
 /// thousand; those get it with the next anti-entropy exchange.
 const GOSSIP_FANOUT: usize = 6;
-/// Maximum age of the data that a stale read of the store returns.
+/// Maximum age of the data that a stale read of the store returns. A request may have been quarantined just before all
+/// proxies ended.
 const MAX_STALENESS: Duration = Duration::from_secs(4);
-/// Timeout for claiming a trial in the store; the request waits for it.
+/// Timeout for claiming a trial in the store; the request waits for it, and a refusal should be sent soon.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 
 impl Proxy {
