--- a/standins/tests/endpoint_notices.rs
+++ b/standins/tests/endpoint_notices.rs
@@ -23,12 +23,16 @@
 /// Pause between the requests of one caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
-/// Starts two endpoints of `desk` and one of `ledger`, each with its proxy.
+/// Starts two endpoints of `desk` and one of `ledger`, each with its proxy. They run a request in `WORK_TIME`.
 fn start_site() -> Site {
+    start_site_with(4, WORK_TIME)
+}
+
+fn start_site_with(slots: u32, work_time: Duration) -> Site {
     let mut site = Site::start().expect("the store starts");
     site.store.put_config(two_routes(1));
     for (service, data_centre) in [("desk", "dc-1"), ("desk", "dc-2"), ("ledger", "dc-1")] {
-        site.add_vm(service, data_centre, 4, WORK_TIME).expect("the proxy starts");
+        site.add_vm(service, data_centre, slots, work_time).expect("the proxy starts");
     }
     assert!(site.wait_until_ready(3), "a proxy has not learnt of all endpoints");
     site
@@ -257,14 +261,20 @@
     assert!(arrived[1] >= 20, "{} requests arrived in 2 s after the limit ended", arrived[1]);
 }
 
-#[test]
-fn a_limit_binds_over_kills_of_the_guard() {
-    let mut site = start_site();
+/// Endpoints with many slots and long requests would get a request in each slot before their first answer names the limit
+/// again.
+#[rstest]
+#[case::short_requests(4, WORK_TIME)]
+#[case::long_requests(8, Duration::from_millis(500))]
+fn a_limit_binds_over_kills_of_the_guard(#[case] slots: u32, #[case] work_time: Duration) {
+    let mut site = start_site_with(slots, work_time);
     let mut restarts = Vec::new();
 
     let sent = under_load(&mut site, |site| {
         thread::sleep(Duration::from_secs(1));
+        // The second endpoint leaves no room for what the first one doesn't take.
         site.proxies[0].endpoint.set_limit(Some("1"));
+        site.proxies[1].endpoint.set_limit(Some("1"));
         thread::sleep(Duration::from_secs(4));
         for _ in 0..3 {
             let from = Instant::now();
