Store lines name the task that called; lines and a counter of substitutes, activations by source

Neither a log nor a metric said which call of a proxy the store left unanswered, whether a proxy that lost the store found another to watch in its place, or how many it asked. No decision changes.

--- a/src/proxy/backoff.rs
+++ b/src/proxy/backoff.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     platform::StoreFailure,
-    proxy::{Proxy, clock, events::Event},
+    proxy::{
+        Proxy, clock,
+        events::{Event, StoreTask},
+    },
 };
 
 /// The pause after the first failed call; it doubles with each further failure.
@@ -18,6 +21,7 @@
 /// Exponential backoff with jitter for a sequence of store calls.
 pub(super) struct Backoff<'a> {
     proxy: &'a Proxy,
+    task: StoreTask,
     /// Failed calls since the last answer.
     failures: u32,
     /// When the store last answered; before its first answer, when this was created.
@@ -26,8 +30,8 @@
 
 impl<'a> Backoff<'a> {
     /// Creates a backoff without failures.
-    pub(super) fn new(proxy: &'a Proxy) -> Self {
-        Self { proxy, failures: 0, last_answer: clock::now() }
+    pub(super) fn new(proxy: &'a Proxy, task: StoreTask) -> Self {
+        Self { proxy, task, failures: 0, last_answer: clock::now() }
     }
 
     fn silent_ms(&self) -> u128 {
@@ -40,8 +44,8 @@
         metrics::counter!("jayreach_store_failures_total").increment(1);
         if self.failures == 1 {
             let why = error.to_string();
-            let silent_ms = self.silent_ms();
-            self.proxy.events.emit(&Event::Store { reachable: false, why: &why, failures: 1, silent_ms });
+            let (task, silent_ms) = (self.task, self.silent_ms());
+            self.proxy.events.emit(&Event::Store { task, reachable: false, why: &why, failures: 1, silent_ms });
         }
         let pause = INITIAL_PAUSE.saturating_mul(1 << (self.failures - 1).min(8)).min(MAX_PAUSE);
         sleep(pause.mul_f64(rand::rng().random_range(0.6..1.2))).await;
@@ -50,8 +54,8 @@
     /// Resets the backoff after an answer. Emits an event if calls had failed.
     pub(super) fn record_answer(&mut self) {
         if self.failures > 0 {
-            let (failures, silent_ms) = (self.failures, self.silent_ms());
-            self.proxy.events.emit(&Event::Store { reachable: true, why: "answered", failures, silent_ms });
+            let (task, failures, silent_ms) = (self.task, self.failures, self.silent_ms());
+            self.proxy.events.emit(&Event::Store { task, reachable: true, why: "answered", failures, silent_ms });
             self.failures = 0;
         }
         self.last_answer = clock::now();
--- a/src/proxy/config_watch.rs
+++ b/src/proxy/config_watch.rs
@@ -14,7 +14,15 @@
 use crate::{
     decide::watchers::{self, StoreWatch},
     platform::{ConfigSnapshot, Consistency, WatchEnd, WatchPosition},
-    proxy::{Proxy, backoff::Backoff, clock, events::Event, message::path, peer_link::Link},
+    proxy::{
+        Proxy,
+        backoff::Backoff,
+        clock,
+        directory::ProxyName,
+        events::{Event, StoreTask},
+        message::path,
+        peer_link::Link,
+    },
 };
 
 /// How often a proxy that does not watch checks whether it should.
@@ -94,7 +102,7 @@
 
     /// Reads and watches the configuration in the store while this proxy is a watcher.
     async fn watch_store(self: &Rc<Self>, start: Instant) {
-        let mut backoff = Backoff::new(self);
+        let mut backoff = Backoff::new(self, StoreTask::FollowConfig);
         while self.is_watcher(start) {
             let requested_at = clock::now();
             let object = match self.store.read_config(Consistency::Linearizable).await {
@@ -156,14 +164,21 @@
 
     /// Asks linked peers in random order until one agrees to watch.
     async fn request_substitute(self: Rc<Self>) {
-        let mut links: Vec<Rc<Link>> =
-            self.links.borrow().iter().map(|it| Rc::clone(&it.1)).filter(|it| it.is_connected()).collect();
+        let mut links: Vec<(ProxyName, Rc<Link>)> =
+            self.links.borrow().iter().filter(|it| it.1.is_connected()).cloned().collect();
         links.shuffle(&mut rand::rng());
-        for link in links {
+        let (requested_at, mut asked, mut found) = (clock::now(), 0, None);
+        for (name, link) in links {
+            asked += 1;
             if link.call_within::<_, bool>(SUBSTITUTE_REQUEST_TIMEOUT, path::WATCH, &()).await == Some(true) {
-                return;
+                found = Some(name);
+                break;
             }
         }
+        let took_ms = clock::now().saturating_duration_since(requested_at).as_millis();
+        self.events.emit(&Event::Substitute { found: found.as_deref(), asked, took_ms });
+        let result = if found.is_some() { "found" } else { "none" };
+        metrics::counter!("jayreach_substitutes_total", "result" => result).increment(1);
     }
 
     /// Starts to watch for a peer that cannot reach the store. Returns false if this proxy watches and cannot reach it
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -39,11 +39,14 @@
     Stopping { why: &'a str, running: usize },
     /// The settings file was read again and has changed or is invalid.
     Reloaded { changed: bool, findings: &'a str },
-    /// The store became reachable or unreachable; `silent_ms` is the time since its last response to this proxy.
-    Store { reachable: bool, why: &'a str, failures: u32, silent_ms: u128 },
+    /// The store became reachable or unreachable for `task`; `silent_ms` is the time since its last response to it.
+    Store { task: StoreTask, reachable: bool, why: &'a str, failures: u32, silent_ms: u128 },
     /// This proxy starts or stops watching the store on behalf of the fleet; `confirmed_ms` is the time since the store
     /// last confirmed the configuration to any proxy.
     Watch { begins: bool, confirmed_ms: Option<u128> },
+    /// This proxy lost the store and asked others to watch it instead; `found` is the one that does, `asked` how many
+    /// were asked.
+    Substitute { found: Option<&'a str>, asked: usize, took_ms: u128 },
     /// Another proxy became reachable or unreachable.
     Peer { peer: &'a str, reachable: bool, why: &'a str },
     /// Another proxy's directory entry or the standing of its endpoint changed.
@@ -127,6 +130,18 @@
     Dropped { ordinary: u64, full: u64 },
 }
 
+/// A task of a proxy that calls the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoreTask {
+    /// Reads and watches the configuration.
+    FollowConfig,
+    /// Lists the other proxies and writes its own presence object.
+    Join,
+    /// Reads and writes the quarantined requests.
+    Quarantine,
+}
+
 /// How a request ended, with its totals.
 #[derive(Debug, Serialize)]
 pub struct AnsweredRequest<'a> {
--- a/src/proxy/join.rs
+++ b/src/proxy/join.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     platform::{Consistency, Listing, PresenceObject},
-    proxy::{Proxy, backoff::Backoff, clock},
+    proxy::{Proxy, backoff::Backoff, clock, events::StoreTask},
 };
 
 /// The delay between writing the own presence object and listing all objects again, so that proxies which start
@@ -24,7 +24,7 @@
     /// proxies that start together, the one that lists later sees the other.
     pub(super) async fn join_fleet(self: Rc<Self>) {
         let presence = self.presence();
-        let mut backoff = Backoff::new(&self);
+        let mut backoff = Backoff::new(&self, StoreTask::Join);
         let listed = loop {
             match self.store.list_presences(Consistency::Stale).await {
                 Ok(it) => break it,
@@ -50,7 +50,7 @@
             // Spreads the writes of the fleet, whose proxies notice the restore within a few seconds.
             sleep(MAX_REPUBLISH_DELAY.mul_f64(rand::rng().random_range(0.0..1.0))).await;
             let presence = self.presence();
-            let mut backoff = Backoff::new(&self);
+            let mut backoff = Backoff::new(&self, StoreTask::Join);
             while let Err(error) = self.store.put_presence(&presence).await {
                 backoff.pause_after_failure(&error).await;
             }
@@ -61,7 +61,7 @@
 
     /// Lists the other proxies until a listing is newer than this proxy's own object.
     async fn list_after_write(&self, presence: &PresenceObject) {
-        let mut backoff = Backoff::new(self);
+        let mut backoff = Backoff::new(self, StoreTask::Join);
         for attempt in 0.. {
             sleep(RELIST_DELAY.mul_f64(rand::rng().random_range(0.7..1.3))).await;
             let consistency = if attempt < STALE_LISTINGS { Consistency::Stale } else { Consistency::Linearizable };
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -186,7 +186,7 @@
     }
 
     /// Activates a configuration if it is newer than the active one.
-    fn activate_config(&self, parsed: ParsedConfig, source: &str) {
+    fn activate_config(&self, parsed: ParsedConfig, source: &'static str) {
         let ParsedConfig { config, findings } = parsed;
         let before = self.version();
         if config.version <= before {
@@ -203,6 +203,7 @@
             routes: config.routes().len(),
             confirmed_ms: self.confirmed_ms(),
         });
+        metrics::counter!("jayreach_config_activations_total", "source" => source).increment(1);
         metrics::gauge!("jayreach_config_version").set(config.version as f64);
         self.drop_removed_routes(&config);
         *self.config.borrow_mut() = Some(Rc::new(config));
--- a/src/proxy/quarantine_sync.rs
+++ b/src/proxy/quarantine_sync.rs
@@ -20,6 +20,7 @@
     proxy::{
         Proxy,
         backoff::Backoff,
+        events::StoreTask,
         gossip::{COALESCE_DELAY, PEER_CALL_TIMEOUT},
         guard::quarantine::CrashRecordSource,
         message::{QuarantineExchange, path},
@@ -83,7 +84,7 @@
     /// Loads the quarantine from the store with two stale reads, which cost a tenth of a linearizable one. The second
     /// read returns what was written just before the start.
     pub(super) async fn load_quarantine(self: Rc<Self>) {
-        let mut backoff = Backoff::new(&self);
+        let mut backoff = Backoff::new(&self, StoreTask::Quarantine);
         for delay in [Duration::ZERO, MAX_STALENESS] {
             sleep(delay).await;
             while let Err(error) = self.read_quarantine().await {
@@ -120,7 +121,7 @@
 
     /// Writes a quarantined request to the store, or removes it if it was cleared.
     async fn store_crash_record(self: Rc<Self>, fingerprint: Fingerprint) {
-        let mut backoff = Backoff::new(&self);
+        let mut backoff = Backoff::new(&self, StoreTask::Quarantine);
         loop {
             let record = self.guard.crash_record(fingerprint);
             let result = if record.is_quarantined() {
