--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -90,6 +90,12 @@
         self.shared.silence_epoch.fetch_add(1, Ordering::AcqRel);
     }
 
+    /// Resets all open connections and refuses new ones from now on.
+    pub fn refuse_connections(&self) {
+        self.listener.close();
+        self.reset_open_connections();
+    }
+
     /// Resets all open connections (TCP RST).
     pub fn reset_open_connections(&self) {
         self.shared.resets.fetch_add(1, Ordering::AcqRel);
--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -1,5 +1,6 @@
 //! Guards against late configuration changes: when all open connections to the store go silent without a reset, watches
-//! that wait on them must not delay a change until they time out.
+//! that wait on them must not delay a change until they time out; and while any proxy reaches the store, the others must
+//! find it in time.
 
 use std::{
     thread,
@@ -13,12 +14,19 @@
     platform::{
         fixtures::{WORK_TIME, two_routes},
         site::{Proxy, Relays, Site, eventually},
+        store::StoreMode,
     },
     relay::{Impairment, Relay},
 };
 
 /// Time from a change's acceptance by the store to its activation by a proxy, at most.
 const ACTIVATION_LIMIT_SECONDS: f64 = 2.0;
+/// The same for a fleet whose open connections went silent once, and which has no other fault.
+const SILENCE_ACTIVATION_LIMIT_SECONDS: f64 = ACTIVATION_LIMIT_SECONDS / 2.0;
+/// Time within which connections between proxies that went silent are replaced.
+const LINK_RENEWAL: Duration = Duration::from_millis(2_500);
+/// Fleets that share the moments of a sweep.
+const SWEEP_SITES: usize = 4;
 /// Time from the start of the apply command to activation by all daemons, at most.
 const DAEMON_ACTIVATION_LIMIT: Duration = Duration::from_secs(6);
 /// Time within which the watches begin again after a change.
@@ -67,6 +75,113 @@
     relays.peers.silence_open_connections();
 }
 
+/// How long after a change the last proxy activates it if all open connections go silent `offset_ms` before the change
+/// or, if negative, after it.
+fn seconds_until_active(site: &Site, version: u32, silence: fn(&Relays), offset_ms: i64) -> f64 {
+    let silence_all = || site.proxies.iter().filter_map(|it| it.relays.as_ref()).for_each(silence);
+    let offset = Duration::from_millis(offset_ms.unsigned_abs());
+    if offset_ms >= 0 {
+        silence_all();
+        thread::sleep(offset);
+    }
+    let accepted = now();
+    site.store.put_config(two_routes(version));
+    if offset_ms < 0 {
+        thread::sleep(offset);
+        silence_all();
+    }
+    assert!(eventually(|| all_activated(site, version.into())), "version {version} is not active everywhere");
+    let active_at = |it: &Proxy| activated_at(it, version.into()).expect("the version was just seen active");
+    site.proxies.iter().map(|it| active_at(it) - accepted).fold(0.0, f64::max)
+}
+
+/// Sweeps the moment of the silence from 100 ms after the change to three seconds before it.
+#[rstest]
+#[case::to_the_store(silence_store)]
+#[case::to_the_store_and_between_proxies(silence_store_and_peers)]
+fn a_change_is_activated_in_half_the_time_whenever_open_connections_go_silent(#[case] silence: fn(&Relays)) {
+    let offsets: Vec<i64> = [-100, -50, -20, -10, -5].into_iter().chain((0..=30).map(|it| it * 100)).collect();
+
+    let sweep = |first: usize| {
+        let site = site_of(8);
+        thread::sleep(WATCHER_SELECTION);
+        let mine = offsets.iter().skip(first).step_by(SWEEP_SITES);
+        let measure = |(at, offset_ms): (u32, &i64)| {
+            // The moment within a watch varies, too.
+            thread::sleep(LINK_RENEWAL + Duration::from_millis(170) * at);
+            (*offset_ms, seconds_until_active(&site, at + 2, silence, *offset_ms))
+        };
+        (0..).zip(mine).map(measure).collect::<Vec<_>>()
+    };
+    let mut curve: Vec<(i64, f64)> = thread::scope(|scope| {
+        let sweeps: Vec<_> = (0..SWEEP_SITES).map(|first| scope.spawn(move || sweep(first))).collect();
+        sweeps.into_iter().flat_map(|it| it.join().expect("a sweep")).collect()
+    });
+
+    curve.sort_by_key(|it| it.0);
+    println!("milliseconds of silence before the change, seconds until active: {curve:.2?}");
+    let late: Vec<_> = curve.iter().filter(|it| it.1 > SILENCE_ACTIVATION_LIMIT_SECONDS).collect();
+    assert!(late.is_empty(), "{late:.2?}");
+}
+
+/// All watchers and all other proxies but one lose the store: half of them are refused, the others get no answer.
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::after_a_second(Duration::from_secs(1))]
+#[case::after_three_seconds(Duration::from_secs(3))]
+#[case::after_eight_seconds(Duration::from_secs(8))]
+fn a_change_is_activated_in_time_while_a_single_proxy_reaches_the_store(#[case] delay: Duration) {
+    let site = site_of(12);
+    let watches = |it: &Proxy| it.status()["watching"] == true;
+    thread::sleep(WATCHER_SELECTION);
+    assert!(eventually(|| site.proxies.iter().filter(|it| watches(it)).count() == 6), "not six watchers");
+    let sighted = site.proxies.iter().position(|it| !watches(it)).expect("half of the proxies don't watch");
+
+    let lost = site.proxies.iter().enumerate().filter(|it| it.0 != sighted);
+    for (at, relays) in lost.filter_map(|(at, it)| Some((at, it.relays.as_ref()?))) {
+        if at % 2 == 0 {
+            relays.store.refuse_connections();
+        } else {
+            relays.store.set_impairment(Impairment::CutTo);
+            relays.store.silence_open_connections();
+        }
+    }
+    thread::sleep(delay);
+    let accepted = now();
+    site.store.put_config(two_routes(2));
+    assert!(eventually(|| all_activated(&site, 2)));
+
+    let active_at = |it: &Proxy| activated_at(it, 2).expect("the version was just seen active");
+    let after: Vec<f64> = site.proxies.iter().map(|it| active_at(it) - accepted).collect();
+    println!("activated after {after:.2?} s");
+    assert!(after.iter().all(|it| *it <= ACTIVATION_LIMIT_SECONDS), "activated only after {after:.2?} s");
+}
+
+/// The search for a proxy that reaches the store must not overload one that is down for all.
+#[test]
+fn a_store_that_is_down_for_all_gets_few_calls() {
+    let proxies = 16;
+    let outage = Duration::from_secs(10);
+    let site = site_of(proxies);
+    thread::sleep(WATCHER_SELECTION);
+
+    site.store.set_mode(StoreMode::Busy);
+    let calls_before = site.store.request_count();
+    thread::sleep(outage);
+    let calls = site.store.request_count() - calls_before;
+    site.store.set_mode(StoreMode::Good);
+    let recovered = now();
+    site.store.put_config(two_routes(2));
+    assert!(eventually(|| all_activated(&site, 2)));
+
+    let active_at = |it: &Proxy| activated_at(it, 2).expect("the version was just seen active");
+    let after = site.proxies.iter().map(|it| active_at(it) - recovered).fold(0.0, f64::max);
+    println!("{calls} calls; activated {after:.2} s after the store was back");
+    // A call of each proxy in two seconds on average.
+    assert!(calls <= proxies as u64 * outage.as_secs() / 2, "{calls} calls in {outage:?}");
+    assert!(after <= ACTIVATION_LIMIT_SECONDS, "activated {after:.2} s after the store was back");
+}
+
 #[rstest]
 #[case::to_the_store(silence_store)]
 #[case::to_the_store_and_between_proxies(silence_store_and_peers)]
