A watcher that lost the store searches until it finds a proxy that reaches it

Callers were routed by an old configuration although the store had confirmed a newer one and a part of the fleet could read it (404, the old service), as long as the watchers' fault lasted.

Cause: each watcher that lost the store asked one linked peer to watch in its place, every 5 s, and that peer agreed without having read the store. It could be as blind as the watcher, and asked nobody in turn. With all watchers and these peers blind, nobody looked until 11 s after the last confirmation.

Change: a proxy becomes a substitute only by reading the store. A blind watcher asks 1, 2, 4, 8 ... proxies every 150 ms until one can: its share of the fleet first, which the watchers divide among themselves, then the other watchers, then others (decide/store_search.rs). A watch that ends without an answer is followed by a read at once, and a read counts as lost after 0.3 s. So that a store that is down for all isn't stormed, a proxy answers from its last result for 2, then 4 s, and the more watchers there are, the longer each pauses.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,6 +20,7 @@
 pub mod service_times;
 pub mod shutdown;
 pub mod slot_time;
+pub mod store_search;
 pub mod subset;
 pub mod suspicion;
 pub mod wait_queue;
--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -26,12 +26,14 @@
 /// Interval at which one more proxy of each data centre starts to watch then, so that the store isn't overloaded when
 /// it recovers.
 const EXTRA_WATCHER_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a substitute watches: long enough for its confirmations to reach the fleet, and limited in case the store
-/// is down for all proxies.
+/// How long a substitute watches; a watcher that can't reach the store searches for one again before that.
 const SUBSTITUTION_TIME: Duration = Duration::from_secs(10);
-/// Interval of a watcher's requests for a substitute; shorter than `SUBSTITUTION_TIME`, so that the substitutes
-/// overlap.
-const REQUEST_INTERVAL: Duration = Duration::from_secs(5);
+/// The pause after a search that found a substitute; shorter than `SUBSTITUTION_TIME`, so that the substitutes overlap.
+pub const SUBSTITUTED_SEARCH_INTERVAL: Duration = Duration::from_secs(5);
+/// Calls of all watchers together to a store that they can't reach are about this far apart.
+const RETRY_PAUSE_PER_WATCHER: Duration = Duration::from_millis(500);
+/// The least and the greatest of the longest pauses of a watcher.
+const RETRY_PAUSE_LIMITS: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(4));
 /// How long a proxy without a confirmation since its start waits for the watchers before it may watch as an extra.
 const INITIAL_WAIT: Duration = Duration::from_secs(3);
 
@@ -53,48 +55,57 @@
     }
 }
 
-/// State of a watcher that can't reach the store, and of the substitute that watches for another proxy.
+/// The time for which a proxy watches in the place of one that lost the store.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct WatchSubstitution {
-    /// When this proxy last requested a substitute.
-    requested_at: Option<Instant>,
-    /// End of this proxy's own time as a substitute.
+pub struct Substitution {
     until: Option<Instant>,
 }
 
-impl WatchSubstitution {
-    /// Whether this proxy should request a substitute now that the store doesn't answer; if so, records the request.
-    /// A substitute requests none: otherwise the whole fleet would watch a store that is down for all.
-    pub fn should_request_substitute(&mut self, now: Instant) -> bool {
-        let requested_recently =
-            self.requested_at.is_some_and(|it| now.saturating_duration_since(it) < REQUEST_INTERVAL);
-        if self.is_substitute(now) || requested_recently {
-            return false;
-        }
-        self.requested_at = Some(now);
-        true
-    }
-
-    /// Records that the store answered, so that the next failure requests a substitute at once.
-    pub fn store_answered(&mut self) {
-        self.requested_at = None;
-    }
-
-    /// Makes this proxy a substitute for a limited time.
-    pub fn start_substituting(&mut self, now: Instant) {
+impl Substitution {
+    /// Begins or extends it.
+    pub fn start(&mut self, now: Instant) {
         self.until = Some(now + SUBSTITUTION_TIME);
     }
 
-    /// Whether this proxy is a substitute at `now`.
-    pub fn is_substitute(&self, now: Instant) -> bool {
+    /// Whether it lasts at `now`.
+    pub fn is_active(&self, now: Instant) -> bool {
         self.until.is_some_and(|it| now < it)
     }
 }
 
+/// Returns the keys of the watchers among all proxies of a fleet, given as data centre and key.
+pub fn choose_watchers(mut members: Vec<(&str, u64)>) -> Vec<u64> {
+    members.sort_unstable_by_key(|it| (it.0, score(it.1)));
+    let data_centres = members.chunk_by(|a, b| a.0 == b.0);
+    let count = watchers_per_data_centre(data_centres.clone().count());
+    let mut watchers: Vec<(usize, usize, u64)> = data_centres
+        .enumerate()
+        .flat_map(|(at, local)| local.iter().take(count).enumerate().map(move |(rank, it)| (rank, at, it.1)))
+        .collect();
+    watchers.sort_unstable();
+    watchers.into_iter().map(|it| it.2).collect()
+}
+
+/// The longest pause between two calls of a watcher that can't reach the store: the more watchers there are, the sooner
+/// one of them notices that the store is back.
+pub fn max_retry_pause(watchers: usize) -> Duration {
+    RETRY_PAUSE_PER_WATCHER
+        .saturating_mul(u32::try_from(watchers).unwrap_or(u32::MAX))
+        .clamp(RETRY_PAUSE_LIMITS.0, RETRY_PAUSE_LIMITS.1)
+}
+
+/// By which the proxies of a data centre are ranked.
+fn score(key: u64) -> (u64, u64) {
+    (mix(&[key]), key)
+}
+
+fn watchers_per_data_centre(data_centres: usize) -> usize {
+    WATCHERS_PER_DATA_CENTRE.max(MIN_WATCHERS.div_ceil(data_centres.max(1)))
+}
+
 /// The rank of the proxy with the key `me` in its data centre, from 0, by a hash of the keys; `others` are the keys
 /// of the other proxies there.
 pub fn watch_rank(me: u64, others: impl Iterator<Item = u64>) -> usize {
-    let score = |key: u64| (mix(&[key]), key);
     let own_score = score(me);
     others.filter(|it| score(*it) < own_score).count()
 }
@@ -110,7 +121,6 @@
 }
 
 fn should_watch(rank: usize, data_centres: usize, unconfirmed_for: Duration, limit: Duration) -> bool {
-    let watchers = WATCHERS_PER_DATA_CENTRE.max(MIN_WATCHERS.div_ceil(data_centres.max(1)));
-    let Some(extra) = rank.checked_sub(watchers) else { return true };
+    let Some(extra) = rank.checked_sub(watchers_per_data_centre(data_centres)) else { return true };
     unconfirmed_for > limit + EXTRA_WATCHER_INTERVAL.saturating_mul(u32::try_from(extra).unwrap_or(u32::MAX))
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -28,6 +28,7 @@
 mod server;
 pub mod settings;
 mod stop;
+mod store_search;
 
 pub use client::CallError;
 pub(crate) use client::call;
@@ -42,13 +43,17 @@
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use nix::sys::signal::Signal;
-use tokio::{sync::Notify, task::LocalSet};
+use tokio::{
+    sync::{Mutex, Notify},
+    task::LocalSet,
+};
 
 use crate::{
     decide::{
         guard_retry_budget::RetryBudgetConfig,
         shutdown::{Shutdown, ShutdownStage},
-        watchers::WatchSubstitution,
+        store_search::StoreReachability,
+        watchers::Substitution,
     },
     error::Error,
     platform::{ConfigFinding, ParsedConfig, Store},
@@ -59,6 +64,7 @@
         guard::Guard,
         ingress::IngressState,
         link_set::RecentServices,
+        net::AbortOnDropTask,
         peer_link::Link,
         routes::{Config, Version},
         settings::Settings,
@@ -91,9 +97,13 @@
     config_confirmed_at: Cell<Option<Instant>>,
     /// Whether this proxy watches the store on behalf of the fleet.
     watching: Cell<bool>,
-    /// Whether this proxy's last read or watch of the store's configuration failed.
-    store_unreachable: Cell<bool>,
-    substitution: Cell<WatchSubstitution>,
+    /// What calls for the configuration told about the store.
+    store_reachability: Cell<StoreReachability>,
+    /// Held while the store is read for a peer.
+    store_read_turn: Mutex<()>,
+    /// Searches for a proxy that reaches the store, while this watcher doesn't.
+    store_search: RefCell<Option<AbortOnDropTask>>,
+    substitution: Cell<Substitution>,
     directory: RefCell<Directory>,
     /// Notified when a directory entry changes or a proxy joins or leaves.
     members_changed: Notify,
@@ -162,7 +172,9 @@
             fetching_config: Cell::new(false),
             config_confirmed_at: Cell::new(None),
             watching: Cell::new(false),
-            store_unreachable: Cell::new(false),
+            store_reachability: Cell::default(),
+            store_read_turn: Mutex::default(),
+            store_search: RefCell::default(),
             substitution: Cell::default(),
             directory: RefCell::new(Directory::new(initial_row(&settings), now)),
             settings: RefCell::new(Rc::new(settings)),
