Watchers' connections to the store are renewed at evenly spread moments

Cause: watchers begin to watch together after a change, for a random time each. For 1.2 s no watch ended, and after it the next one that would notice came by chance; the answer was then waited for 0.6 s.

Change: each watcher has its own moment in the 1.6 s after a change and every 1.6 s from there, evenly spread over the fleet's watchers (StoreWatch::of_watcher); an answer that is overdue by 0.4 s counts as lost. Proxies agree on the moments without a common clock, as they activate a change within some 100 ms.

Tests of random lengths are replaced: a lost connection must be noticed within 0.8 s at every millisecond of 5 s after a change (3 s before), and a watcher calls once in an interval.

--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -12,14 +12,14 @@
 /// Fewest watchers in a fleet with few data centres: with one in three unable to reach the store, none can in 1 of 700
 /// cases.
 const MIN_WATCHERS: usize = 6;
-/// The shortest watch. Watches are short because a connection can be lost without an error, and a change has to be
-/// active within two seconds after the store accepted it.
-const MIN_WAIT: Duration = Duration::from_millis(1_200);
-/// The longest watch.
-const MAX_WAIT: Duration = Duration::from_millis(2_000);
+/// The time between two answers of the store to a watcher while nothing changes. Watches are short because a connection
+/// can be lost without an error.
+const WATCH_INTERVAL: Duration = Duration::from_millis(1_600);
+/// The shortest watch; one that would be shorter lasts until the interval after.
+const MIN_WAIT: Duration = Duration::from_millis(200);
 /// Time after the end of a watch for the store's answer, before the connection counts as lost: the store usually
-/// answers within milliseconds, and much later when it is in trouble.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// answers within milliseconds, and in a quarter of a second when it is in trouble.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Age of the last confirmation from which more proxies watch: the longest watch, plus the time in which its result
 /// spreads through the fleet.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(11);
@@ -47,10 +47,17 @@
 }
 
 impl StoreWatch {
-    /// A watch with a length chosen by `jitter`, from 0 to 1. Watchers start together after a change; different
-    /// lengths spread their next calls, so that one of them soon reconnects if all connections are lost at once.
-    pub fn with_jitter(jitter: f64) -> Self {
-        let wait = MIN_WAIT + (MAX_WAIT - MIN_WAIT).mul_f64(jitter);
+    /// The watch of the watcher with this index, of `watchers` in the fleet, that begins `since_activation` after the
+    /// active configuration was activated.
+    ///
+    /// Watchers begin to watch together after a change. Each has its own moment in the interval at which its watches
+    /// end, evenly spread: if all connections are lost at once, the next watcher soon notices it.
+    pub fn of_watcher(index: usize, watchers: usize, since_activation: Duration) -> Self {
+        let end = WATCH_INTERVAL.mul_f64((index + 1) as f64 / watchers.max(1) as f64).as_nanos();
+        let interval = WATCH_INTERVAL.as_nanos();
+        let wait = (end + interval - since_activation.as_nanos() % interval) % interval;
+        let wait = if wait < MIN_WAIT.as_nanos() { wait + interval } else { wait };
+        let wait = Duration::from_nanos(u64::try_from(wait).expect("a wait is shorter than two intervals"));
         Self { wait, timeout: wait + ANSWER_TIMEOUT }
     }
 }
--- a/src/proxy/config_watch.rs
+++ b/src/proxy/config_watch.rs
@@ -31,7 +31,7 @@
 /// leave time for the next change to be active within two seconds.
 const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// How long a read of the store may take before others are asked whether it answers them.
-const LOST_AFTER: Duration = Duration::from_millis(300);
+const LOST_AFTER: Duration = Duration::from_millis(400);
 
 impl Proxy {
     /// Watches the store whenever this proxy is a watcher. Never returns.
@@ -117,7 +117,7 @@
             let mut position = self.apply_config(object);
             self.record_confirmation(clock::now().saturating_duration_since(requested_at));
             while self.is_watcher(start) {
-                let watch = StoreWatch::with_jitter(rand::rng().random());
+                let watch = self.next_watch();
                 match self.store.watch_config(position, watch).await {
                     Ok(WatchEnd::Completed(object)) => {
                         backoff.record_answer();
@@ -146,6 +146,18 @@
         }
     }
 
+    fn next_watch(&self) -> StoreWatch {
+        let watchers = self.watcher_keys();
+        let own_key = self.directory.borrow().own_key();
+        let since_activation = clock::now().saturating_duration_since(self.config_activated_at.get());
+        // A substitute stands for any of the watchers.
+        let index = watchers
+            .iter()
+            .position(|it| *it == own_key)
+            .unwrap_or_else(|| rand::rng().random_range(0..watchers.len()));
+        StoreWatch::of_watcher(index, watchers.len(), since_activation)
+    }
+
     /// Reads the configuration, and starts a search for a proxy that reaches the store if the answer takes long.
     async fn read_or_report_loss(self: &Rc<Self>) -> Result<ConfigSnapshot, StoreFailure> {
         let mut read = pin!(self.store.read_config(Consistency::Linearizable));
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -90,6 +90,8 @@
     config: RefCell<Option<Rc<Config>>>,
     /// Invalid parts of the active configuration.
     config_findings: RefCell<Vec<ConfigFinding>>,
+    /// When the active configuration was activated; before the first, when the process started.
+    config_activated_at: Cell<Instant>,
     config_changed: Notify,
     /// Whether a configuration is being fetched from a peer.
     fetching_config: Cell<bool>,
@@ -168,6 +170,7 @@
             events,
             config: RefCell::default(),
             config_findings: RefCell::default(),
+            config_activated_at: Cell::new(now),
             config_changed: Notify::new(),
             fetching_config: Cell::new(false),
             config_confirmed_at: Cell::new(None),
@@ -219,6 +222,7 @@
         metrics::gauge!("jayreach_config_version").set(config.version as f64);
         self.drop_removed_routes(&config);
         *self.config.borrow_mut() = Some(Rc::new(config));
+        self.config_activated_at.set(clock::now());
         self.config_changed.notify_one();
     }
 
--- a/tests/store_listing.rs
+++ b/tests/store_listing.rs
@@ -4,6 +4,7 @@
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpListener},
     thread,
+    time::Duration,
 };
 
 use jayreach::{
@@ -86,8 +87,10 @@
             {\"object\":{\"metadata\":{\"name\":\"main\"},\"spec\":{\"version\":\"zz\"}},\"is_deleted\":false}],\"at_rev\":11}",
     );
 
-    let end = block_on(store.watch_config(WatchPosition { revision: 9, era: 0 }, StoreWatch::with_jitter(0.0)))
-        .expect("events");
+    let end = block_on(
+        store.watch_config(WatchPosition { revision: 9, era: 0 }, StoreWatch::of_watcher(0, 1, Duration::ZERO)),
+    )
+    .expect("events");
 
     let WatchEnd::Completed(snapshot) = end else { panic!("the store has the history") };
     assert_eq!((snapshot.position.revision, snapshot.config.map(|it| it.is_err())), (11, Some(true)));
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -185,24 +185,50 @@
     assert_eq!(count_watchers(&fleet, Duration::from_secs(5)), 6);
 }
 
-/// A lost connection must be noticed within three seconds; the worst case is a watch that starts just before the loss.
+/// The watchers' connections are all lost without an error at one moment after a change. The next of them must notice it
+/// within half of the two seconds in which a change has to be active, with time for the change to spread.
 #[rstest]
-#[case(0.0)]
-#[case(0.5)]
-#[case(1.0)]
-fn a_lost_connection_is_noticed_in_time_for_a_change(#[case] jitter: f64) {
-    let longest_delay_before_the_next_call = Duration::from_millis(300);
-
-    let watch = StoreWatch::with_jitter(jitter);
-
-    assert!(watch.wait < watch.timeout);
-    assert!(watch.timeout + longest_delay_before_the_next_call < Duration::from_secs(3), "{watch:?}");
+#[case(6)]
+#[case(12)]
+#[case(15)]
+fn connections_that_are_lost_at_once_are_noticed_soon_by_one_watcher(#[case] watchers: usize) {
+    let ms = Duration::from_millis;
+    let change_pause = ms(400);
+    let longest = ms(800);
+
+    for lost_at in (400..5_000).map(ms) {
+        let notices = |index: usize| {
+            let mut at = change_pause;
+            loop {
+                let watch = StoreWatch::of_watcher(index, watchers, at);
+                if at + watch.wait >= lost_at {
+                    return at + watch.timeout;
+                }
+                at += watch.wait;
+            }
+        };
+        let noticed = (0..watchers).map(notices).min().expect("there are watchers");
+        assert!(noticed - lost_at <= longest, "lost {lost_at:?} after a change, noticed at {noticed:?}");
+    }
 }
 
-#[test]
-fn jitter_changes_the_length_of_a_watch() {
-    assert!(StoreWatch::with_jitter(0.0).wait < StoreWatch::with_jitter(0.5).wait);
-    assert!(StoreWatch::with_jitter(0.5).wait < StoreWatch::with_jitter(1.0).wait);
+#[rstest]
+#[case(0, 1)]
+#[case(3, 6)]
+#[case(14, 15)]
+fn a_watcher_calls_the_store_once_in_an_interval(#[case] index: usize, #[case] watchers: usize) {
+    let ms = Duration::from_millis;
+    let (mut at, mut watches) = (ms(400), Vec::new());
+
+    for _ in 0..10 {
+        // The answer arrives some milliseconds after the end of the wait.
+        let watch = StoreWatch::of_watcher(index, watchers, at);
+        at += watch.wait + ms(4);
+        watches.push(watch.wait);
+    }
+
+    assert!(watches[1..].iter().all(|it| (ms(1_500)..ms(1_800)).contains(it)), "{watches:?}");
+    assert!(watches[0] >= ms(200), "{watches:?}");
 }
 
 #[rstest]
