News of a version moves to a new connection when a link gives no answer

Cause: a new version is told to four linked peers once. On a link whose path was lost without an error that message is lost, and so is the fetch of a peer that was told: the link is noticed after 1.4 s, and an exchange with another peer repairs it up to 1.3 s later, if that link isn't dead, too. The fetch of a version held up all others for a second, and offers that came meanwhile were dropped. In a fleet without any fault 2 in 100 proxies missed the message.

Change (proxy/version_news.rs): a peer that does not answer on its link within 0.2 s is told on a new connection, and fetches on one. Where most links give no answer, or a watch of the store gave none, the news go on new connections from there on, for 3 s. Peers that may not know yet are told once more after 0.3 s, and offers are kept while a fetch is under way.

--- a/src/proxy/config_watch.rs
+++ b/src/proxy/config_watch.rs
@@ -134,6 +134,8 @@
                         // Perhaps only this connection is lost. The store may also have been restored from a backup,
                         // where a later change can have a revision before this position: read again.
                         backoff.record_failure(&error);
+                        // Links may have lost their paths together with it.
+                        self.avoid_links();
                         break;
                     }
                     Err(error) => {
--- a/src/proxy/gossip.rs
+++ b/src/proxy/gossip.rs
@@ -1,4 +1,4 @@
-//! Gossip between proxies: status updates, directory rows and new configuration versions.
+//! Gossip between proxies: status updates and directory rows.
 //!
 //! A proxy sends changes of its endpoint, the endpoint's standing and its rate limit to its linked peers. Rows of other
 //! proxies spread by an anti-entropy exchange with one peer a second; only this traffic grows with the fleet.
@@ -6,10 +6,9 @@
 use std::{rc::Rc, time::Duration};
 
 use rand::{RngExt as _, seq::IndexedRandom as _};
-use tokio::{task::spawn_local, time::sleep};
+use tokio::time::sleep;
 
 use crate::{
-    platform::ParsedConfig,
     proxy::{
         Proxy, clock,
         directory::{ProxyStatus, Row, StatusUpdate},
@@ -24,12 +23,6 @@
 pub(super) const COALESCE_DELAY: Duration = Duration::from_millis(20);
 /// How long a hello, a status update or a step of an exchange may take.
 pub(super) const PEER_CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long fetching a configuration from a peer may take. It must be active within two seconds, so another peer can be
-/// asked in time.
-const CONFIG_FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// How many peers each proxy notifies of a new version. That reaches all but 2 in 100 proxies; these get it after the
-/// next request or exchange.
-const VERSION_FANOUT: usize = 4;
 /// The mean pause between anti-entropy exchanges. A change reaches hundreds of proxies in about six of them.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 /// The mean pause while a new directory fills.
@@ -103,9 +96,8 @@
                 standing: status.standing,
             });
         }
-        if status.version > self.version() {
-            self.fetch_config(link);
-        }
+        link.note_version(status.version);
+        self.fetch_config((status.version, link.key));
     }
 
     /// Merges rows into the directory and handles those that changed it.
@@ -275,9 +267,7 @@
 
     /// Applies what a peer's summary says about the configuration.
     fn apply_summary(self: &Rc<Self>, peer_summary: StateSummary, link: &Rc<Link>) {
-        if peer_summary.version > self.version() {
-            self.fetch_config(link);
-        }
+        self.fetch_config((peer_summary.version, link.key));
         self.apply_confirmation(peer_summary);
     }
 
@@ -310,32 +300,4 @@
         self.handle_changed_rows(&changed);
         delivered
     }
-
-    /// Notifies a few random peers of each newly activated version, which do the same. Never returns.
-    pub(super) async fn announce_versions(self: Rc<Self>) {
-        loop {
-            self.config_changed.notified().await;
-            let links = self.links.borrow();
-            let connected: Vec<_> = links.iter().filter(|it| it.1.is_connected()).collect();
-            connected.sample(&mut rand::rng(), VERSION_FANOUT).for_each(|it| it.1.request_status_update());
-        }
-    }
-
-    /// Starts to fetch the configuration from a peer that has a newer version.
-    pub(super) fn fetch_config(self: &Rc<Self>, link: &Rc<Link>) {
-        // Many peers announce a new version at once; one fetch at a time is enough.
-        if self.fetching_config.replace(true) {
-            return;
-        }
-        let (proxy, link) = (Rc::clone(self), Rc::clone(link));
-        spawn_local(async move {
-            let known = proxy.version();
-            if let Some(Some(it)) =
-                link.call_within::<_, Option<ParsedConfig>>(CONFIG_FETCH_TIMEOUT, path::CONFIG, &known).await
-            {
-                proxy.activate_config(it, "peer");
-            }
-            proxy.fetching_config.set(false);
-        });
-    }
 }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -38,6 +38,7 @@
     pub(crate) const RELAY: &str = "/relay";
     pub(crate) const HELLO: &str = "/hello";
     pub(crate) const BRIEF: &str = "/brief";
+    pub(crate) const NEWS: &str = "/news";
     pub(crate) const CONFIG: &str = "/config";
     pub(crate) const SUMMARY: &str = "/summary";
     pub(crate) const COMPARE: &str = "/compare";
@@ -384,6 +385,17 @@
     pub newer_sender_row: Option<Row>,
 }
 
+/// Tells a peer on a new connection, as its link gave no answer, which configuration version the sender has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct VersionNews {
+    /// The sender.
+    pub name: ProxyName,
+    /// The version that is active at the sender.
+    pub version: Version,
+    /// Whether most links of the sender gave no answer, so that those of the receiver may not either.
+    pub links_seem_silent: bool,
+}
+
 /// Opens an anti-entropy exchange; nothing more is sent if both sides agree.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct StateSummary {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -29,6 +29,7 @@
 pub mod settings;
 mod stop;
 mod store_search;
+mod version_news;
 
 pub use client::CallError;
 pub(crate) use client::call;
@@ -69,6 +70,7 @@
         routes::{Config, Version},
         settings::Settings,
         stop::Signals,
+        version_news::ConfigOffer,
     },
     rows::Stamp,
     startup_signals,
@@ -95,6 +97,10 @@
     config_changed: Notify,
     /// Whether a configuration is being fetched from a peer.
     fetching_config: Cell<bool>,
+    /// Peers that have a newer configuration, to fetch it from.
+    config_offers: RefCell<Vec<ConfigOffer>>,
+    /// Until when news of versions are sent on new connections, as links gave no answer.
+    links_avoided_until: Cell<Option<Instant>>,
     /// When the store last confirmed to any proxy that the active configuration is the newest, as far as known here.
     config_confirmed_at: Cell<Option<Instant>>,
     /// Whether this proxy watches the store on behalf of the fleet.
@@ -173,6 +179,8 @@
             config_activated_at: Cell::new(now),
             config_changed: Notify::new(),
             fetching_config: Cell::new(false),
+            config_offers: RefCell::default(),
+            links_avoided_until: Cell::new(None),
             config_confirmed_at: Cell::new(None),
             watching: Cell::new(false),
             store_reachability: Cell::default(),
--- a/src/proxy/peer_link.rs
+++ b/src/proxy/peer_link.rs
@@ -28,6 +28,7 @@
         client, clock,
         directory::{ProxyStatus, Row},
         net::{self, AbortOnDropTask, LocalExecutor},
+        routes::Version,
     },
     rows::{Incarnation, MemberKey, Stamp, member_key},
 };
@@ -80,6 +81,8 @@
     down_since: Cell<Option<Instant>>,
     /// The peer's last status, with the incarnation of the peer that reported it.
     status: Cell<(Incarnation, ProxyStatus)>,
+    /// The newest configuration version that the peer is known to have.
+    known_version: Cell<Version>,
     sender: RefCell<Option<SendRequest<Full<Bytes>>>>,
     health: RefCell<PathHealth>,
     /// The number of running and waiting requests that the peer last reported, and when.
@@ -135,6 +138,7 @@
             open_calls: Cell::new(0),
             down_since: Cell::new(Some(clock::now())),
             status: Cell::default(),
+            known_version: Cell::new(0),
             sender: RefCell::default(),
             health: RefCell::default(),
             reported_load: Cell::new((0, Instant::now())),
@@ -214,6 +218,16 @@
         self.status.get().1.limit
     }
 
+    /// The newest configuration version that the peer is known to have.
+    pub(super) fn known_version(&self) -> Version {
+        self.known_version.get()
+    }
+
+    /// Records that the peer has this version of the configuration.
+    pub(super) fn note_version(&self, version: Version) {
+        self.known_version.set(self.known_version.get().max(version));
+    }
+
     /// Stores the peer's status and returns true, unless it is not newer than the known one.
     pub(super) fn update_status(&self, stamp: Stamp, status: ProxyStatus) -> bool {
         let (incarnation, known) = self.status.get();
--- a/src/proxy/peer_server.rs
+++ b/src/proxy/peer_server.rs
@@ -20,6 +20,7 @@
         routes::Version,
         server::{FullResponse, response},
     },
+    rows::member_key,
 };
 
 /// The longest call, in bytes: a caller's request and its envelope.
@@ -44,6 +45,7 @@
         path::RELAY => decode_and_reply(&body, |it| proxy.relay_query(it)).await,
         path::HELLO => decode_and_reply(&body, async |it| proxy.answer_hello(it)).await,
         path::BRIEF => decode_and_reply(&body, async |it| proxy.apply_status_update(&it)).await,
+        path::NEWS => decode_and_reply(&body, async |it| proxy.apply_version_news(&it)).await,
         path::CONFIG => decode_and_reply(&body, async |it| proxy.newer_config(it)).await,
         path::SUMMARY => decode_and_reply(&body, async |it| proxy.answer_summary(it)).await,
         path::COMPARE => decode_and_reply(&body, async |it| proxy.answer_compare(&it)).await,
@@ -84,12 +86,7 @@
     }
 
     async fn reserve(self: &Rc<Self>, req: ReserveRequest) -> ReserveResponse {
-        if req.version > self.version()
-            && let Some(it) = self.link(&req.ingress)
-        {
-            // The hello's response contains the version, and the configuration is fetched.
-            it.request_hello();
-        }
+        self.fetch_config((req.version, member_key(&req.ingress)));
         let result = self.guard.reserve(&req, self.reservation_context(&req)).await;
         let crash_record = self.guard.crash_record(req.fingerprint);
         let is_rate_limited = result == Err(GrantRefusal::RateLimited);
