A daemon that lost the store searches for one that reaches it

Daemons had no substitutes at all; others read the store every 300 s. After a longer outage a watcher also paused up to 13 s.

A watcher without the store pauses 2.6 s at most; the write of the presence object keeps its 13 s, as all daemons repeat it.

--- a/src/daemon/config_watch.rs
+++ b/src/daemon/config_watch.rs
@@ -20,6 +20,7 @@
         http_client::Connection,
         peers::{CONTROL_TIMEOUT, PartsReply, PartsRequest, PeerCall},
         phase::PhaseEvent,
+        store_search::{SHORT_WAIT, Searches},
     },
     store::{ObjectVersion, ROOT_KEY, WriteCondition, part_key, presence_key},
     targets::PartRef,
@@ -39,13 +40,18 @@
 /// How long a daemon without a configuration waits to get one from a peer before it reads the store itself, so that a
 /// fleet that starts doesn't overload the store.
 const INITIAL_READ_DELAY: Duration = Duration::from_secs(20);
-/// The first and the longest pause after a failed call to the store.
-const BACKOFF_RANGE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
+/// The first pause after a failed call to the store.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
+/// The longest pause of a watcher; once the store is back, a change must become active in time.
+const MAX_WATCH_BACKOFF: Duration = Duration::from_secs(2);
+/// The longest pause of the write of the presence object, which all daemons repeat while the store is away.
+const MAX_WRITE_BACKOFF: Duration = Duration::from_secs(10);
 
 /// Keeps the configuration up to date until the process ends.
 pub(crate) fn run(daemon: &Arc<Daemon>) {
     let mut seen: ObjectVersion = 0;
-    let mut backoff = BACKOFF_RANGE.0;
+    let mut backoff = INITIAL_BACKOFF;
+    let mut searches: Option<Searches> = None;
     let mut last_read = Instant::now();
     loop {
         let is_watching = is_watcher(daemon);
@@ -56,22 +62,35 @@
             continue;
         }
         // After a change all watchers begin a new watch at once; the jitter spreads the next ones.
-        let wait = if is_watching { WATCH_TIMEOUT.mul_f64(jitter()) } else { Duration::ZERO };
+        let wait = match &searches {
+            _ if !is_watching => Duration::ZERO,
+            None => WATCH_TIMEOUT.mul_f64(jitter()),
+            Some(_) => SHORT_WAIT,
+        };
         last_read = Instant::now();
-        match daemon.platform.watch(ROOT_KEY, seen, wait) {
+        let result = daemon.platform.watch(ROOT_KEY, seen, wait);
+        if result.is_ok() {
+            lock(&daemon.store_access).reachability.record_answer(Instant::now());
+            searches = None;
+            backoff = INITIAL_BACKOFF;
+        }
+        match result {
             Ok(Some(object)) => {
-                backoff = BACKOFF_RANGE.0;
                 if adopt_from_store(daemon, object.value) {
                     seen = object.version;
                 } else {
-                    pause_with_backoff(&mut backoff);
+                    pause_with_backoff(&mut backoff, MAX_WATCH_BACKOFF);
                 }
             }
-            Ok(None) => backoff = BACKOFF_RANGE.0,
+            Ok(None) => (),
             Err(error) => {
                 log::debug!("watching {ROOT_KEY}: {error}");
                 metrics::counter!("jayreach_platform_errors_total").increment(1);
-                pause_with_backoff(&mut backoff);
+                lock(&daemon.store_access).reachability.record_failure(Instant::now());
+                if is_watching {
+                    searches.get_or_insert_default().search_if_due(daemon);
+                }
+                pause_with_backoff(&mut backoff, MAX_WATCH_BACKOFF);
             }
         }
     }
@@ -81,13 +100,16 @@
     rand::rng().random_range(0.7..1.3)
 }
 
-fn pause_with_backoff(backoff: &mut Duration) {
+fn pause_with_backoff(backoff: &mut Duration, longest: Duration) {
     thread::sleep(backoff.mul_f64(jitter()));
-    *backoff = (*backoff * 2).min(BACKOFF_RANGE.1);
+    *backoff = (*backoff * 2).min(longest);
 }
 
-/// Whether this daemon is among the first `WATCHERS` of its data centre by rendezvous hash.
+/// Whether this daemon is among the first `WATCHERS` of its data centre by rendezvous hash, or a substitute.
 fn is_watcher(daemon: &Daemon) -> bool {
+    if lock(&daemon.store_access).substitution.is_active(Instant::now()) {
+        return true;
+    }
     let rank = |it: &str| stable_hash(&[b"watcher", it.as_bytes()]);
     let own = rank(&daemon.settings.name);
     let table = lock(&daemon.table);
@@ -95,7 +117,8 @@
     same_data_centre.filter(|it| rank(&it.name) < own).count() < WATCHERS
 }
 
-fn adopt_from_store(daemon: &Arc<Daemon>, root: Vec<u8>) -> bool {
+/// Adopts a configuration read from the store; returns false if it is malformed or incomplete.
+pub(crate) fn adopt_from_store(daemon: &Arc<Daemon>, root: Vec<u8>) -> bool {
     let fetch = |parts: &[PartRef]| {
         let object = daemon.platform.get(&part_key(&parts[0].0)).ok().flatten()?;
         Some(vec![object.value])
@@ -106,11 +129,11 @@
 /// Writes the presence object, by which joining daemons find this one; retries until the write succeeds.
 pub(crate) fn write_presence(daemon: &Arc<Daemon>) {
     let key = own_presence_key(daemon);
-    let mut backoff = BACKOFF_RANGE.0;
+    let mut backoff = INITIAL_BACKOFF;
     while let Err(error) = daemon.platform.put(&key, b"", WriteCondition::Unconditional) {
         log::debug!("writing the presence object {key}: {error}");
         metrics::counter!("jayreach_platform_errors_total").increment(1);
-        pause_with_backoff(&mut backoff);
+        pause_with_backoff(&mut backoff, MAX_WRITE_BACKOFF);
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod peers;
 mod phase;
+mod store_search;
 mod thread_pool;
 
 use std::{
@@ -50,6 +51,7 @@
         issued_tickets::IssuedTickets,
         peers::PeerClient,
         phase::{Phase, PhaseCell, PhaseEvent},
+        store_search::StoreAccess,
         thread_pool::ThreadPool,
     },
     decide::ClassRetryBudget,
@@ -126,6 +128,7 @@
     client: Arc<Client>,
     peers: PeerClient,
     platform: Box<dyn ObjectStore>,
+    store_access: Mutex<StoreAccess>,
     pools: ThreadPools,
     budgets: RetryBudgets,
     open_requests: Arc<AtomicUsize>,
@@ -255,6 +258,7 @@
             peers: PeerClient::new(Arc::clone(&client), settings.peer_key.clone()),
             client,
             platform: Box::new(StoreClient::new(settings.platform)),
+            store_access: Mutex::default(),
             pools: ThreadPools {
                 callers: ThreadPool::new("caller", MAX_CALLER_THREADS),
                 work: ThreadPool::new("work", MAX_WORK_THREADS),
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -61,9 +61,11 @@
     Parts,
     /// Empty message, reply `ActiveVersion`.
     InForce,
+    /// Empty message; the reply is whether the store answers the daemon.
+    ReadStore,
 }
 
-const CALL_PATHS: [(PeerCall, &str); 12] = [
+const CALL_PATHS: [(PeerCall, &str); 13] = [
     (PeerCall::Dispatch, "/peer/dispatch"),
     (PeerCall::Forward, "/peer/forward"),
     (PeerCall::Revoke, "/peer/revoke"),
@@ -76,6 +78,7 @@
     (PeerCall::Root, "/peer/root"),
     (PeerCall::Parts, "/peer/parts"),
     (PeerCall::InForce, "/peer/in-force"),
+    (PeerCall::ReadStore, "/peer/read-store"),
 ];
 
 impl PeerCall {
@@ -275,6 +278,7 @@
             Some(encode(&collect_parts(&*daemon.config.get()?, &it)))
         }
         PeerCall::InForce => Some(encode(&ActiveVersion { version: daemon.config.version() })),
+        PeerCall::ReadStore => Some(encode(&daemon.read_store_for_peer())),
     }
 }
 
--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -264,3 +264,42 @@
     std::fs::remove_file(changed).expect("the file is removed");
     fleet.close();
 }
+
+/// All daemons but one lose the store; each is that one in turn, whether it watches the store or not.
+#[test]
+fn a_change_reaches_daemons_in_time_while_a_single_one_reaches_the_store() {
+    let mut fleet = Fleet::start().expect("a store");
+    let store = fleet.store;
+    let relays: Vec<Relay> = (0..4).map(|_| Relay::start(store).expect("a relay")).collect();
+    for it in &relays {
+        fleet.store = it.address;
+        fleet.add_daemon("dc-1").expect("a daemon");
+    }
+    fleet.store = store;
+    let sample = repository_file("samples/prairie.toml");
+    fleet.apply(&sample).expect("the sample is accepted");
+    let targets = std::fs::read_to_string(&sample).expect("the sample");
+    let changed = std::env::temp_dir().join(format!("jayreach-blind-{}.toml", std::process::id()));
+
+    let mut after = Vec::new();
+    for sighted in 0..relays.len() {
+        for it in relays.iter().enumerate().filter(|it| it.0 != sighted).map(|it| it.1) {
+            it.set_impairment(Impairment::CutTo);
+            it.silence_open_connections();
+        }
+        thread::sleep(CHANGE_DELAY);
+        let importance = format!("importance = {}", 20 + sighted);
+        std::fs::write(&changed, targets.replace("importance = 30", &importance)).expect("a file");
+        let started = Instant::now();
+        // Returns once the change is active in all daemons.
+        let applied = fleet.apply(&changed);
+        after.push((applied.is_ok(), started.elapsed()));
+        relays.iter().for_each(|it| it.set_impairment(Impairment::None));
+        thread::sleep(DAEMON_ACTIVATION_LIMIT);
+    }
+
+    println!("active after {after:.2?}");
+    assert!(after.iter().all(|it| it.0 && it.1 < DAEMON_ACTIVATION_LIMIT), "{after:.2?}");
+    std::fs::remove_file(changed).expect("the file is removed");
+    fleet.close();
+}
