A watch that is reset is retried after a pause

A store that answers reads and resets every watch got 2,246 calls of 4 proxies in 3 s: since watchers search for a proxy that reaches the store, a watch without an answer is followed by a read at once, and a reset comes at once, too.

Only a watch that timed out is followed by a read at once now; it took its time.

--- a/src/proxy/backoff.rs
+++ b/src/proxy/backoff.rs
@@ -15,7 +15,7 @@
 
 /// The pause after the first failed call; it doubles with each further failure.
 const INITIAL_PAUSE: Duration = Duration::from_millis(250);
-/// The longest pause. A configuration change must be active two seconds after the store is back.
+/// The longest pause, unless another is set. A configuration change must be active two seconds after the store is back.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Exponential backoff with jitter for a sequence of store calls.
--- a/src/proxy/config_watch.rs
+++ b/src/proxy/config_watch.rs
@@ -16,7 +16,7 @@
     decide::watchers::{self, StoreWatch},
     platform::{ConfigSnapshot, Consistency, StoreFailure, WatchEnd, WatchPosition},
     proxy::{
-        Proxy,
+        CallError, Proxy,
         backoff::Backoff,
         clock,
         events::{Event, StoreTask},
@@ -130,11 +130,11 @@
                         }
                     }
                     Ok(WatchEnd::HistoryGone) => break,
-                    Err(error @ StoreFailure::NoResponse(_)) => {
-                        // Perhaps only this connection is lost. The store may also have been restored from a backup,
-                        // where a later change can have a revision before this position: read again.
+                    // The store may have been restored from a backup, where a later change can have a revision before
+                    // this position: read again.
+                    Err(error @ StoreFailure::NoResponse(CallError::TimedOut)) => {
+                        // Perhaps only the open connections lost their paths, those of the links, too.
                         backoff.record_failure(&error);
-                        // Links may have lost their paths together with it.
                         self.avoid_links();
                         break;
                     }
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -29,6 +29,8 @@
     Busy,
     /// Closes the connection of each request without a response.
     Reset,
+    /// Closes the connection of each watch without a response; other requests get responses.
+    ResetsWatches,
     /// Applies writes, but closes the connection instead of responding to them; reads get responses.
     LosesAnswers,
 }
@@ -170,7 +172,8 @@
             let resp = match mode {
                 StoreMode::Reset => return,
                 StoreMode::Busy => (503, Value::Null),
-                StoreMode::Good | StoreMode::LosesAnswers => self.respond(&req),
+                StoreMode::ResetsWatches if req.second_word().contains("watch=") => return,
+                StoreMode::Good | StoreMode::ResetsWatches | StoreMode::LosesAnswers => self.respond(&req),
             };
             if resp == NO_RESPONSE {
                 return;
--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -182,6 +182,26 @@
     assert!(after <= ACTIVATION_LIMIT_SECONDS, "activated {after:.2} s after the store was back");
 }
 
+/// Reads succeed, so that the next watch begins at once.
+#[test]
+fn a_store_that_resets_every_watch_gets_few_calls() {
+    let proxies = 4;
+    let trouble = Duration::from_secs(3);
+    let shortest_pause = Duration::from_millis(150);
+    let site = site_of(proxies);
+    thread::sleep(WATCHER_SELECTION);
+
+    site.store.set_mode(StoreMode::ResetsWatches);
+    let calls_before = site.store.request_count();
+    thread::sleep(trouble);
+    let calls = site.store.request_count() - calls_before;
+
+    // A read and a watch of each proxy between two pauses.
+    let limit = 2 * proxies as u128 * trouble.as_millis() / shortest_pause.as_millis();
+    println!("{calls} calls");
+    assert!(u128::from(calls) <= limit, "{calls} calls in {trouble:?}");
+}
+
 #[rstest]
 #[case::to_the_store(silence_store)]
 #[case::to_the_store_and_between_proxies(silence_store_and_peers)]
