Tests: what the replaced tests of watches and substitutes asserted stands again

They stand again, with their bounds: - a watch leaves time for its answer, and a lost connection is noticed within three seconds with 300 ms until the next call: now for every start within five seconds and every watcher, not for three lengths - watches that begin together have different lengths - a watcher searches at once and again after 5 s, not between (a real fleet; before: the moments of requests); and at once when it loses the store again after an answer - a substitute watches at 1 s and no longer at 10 s - the purpose of 'a substitute requests none': while the store is down for all, no further proxy watches it

The product is unchanged.

--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -28,6 +28,10 @@
 const LINK_RENEWAL: Duration = Duration::from_millis(4_500);
 /// Time from a silence to one that meets the news on new connections.
 const REPEATED_SILENCE: Duration = Duration::from_millis(2_300);
+/// Watchers of a fleet in two data centres.
+const WATCHERS: usize = 6;
+/// Time before the end of an outage, at which proxies don't yet watch because their last confirmation is old.
+const LATE_IN_OUTAGE: Duration = Duration::from_secs(2);
 /// Fleets that share the moments of a sweep.
 const SWEEP_SITES: usize = 4;
 /// Time from the start of the apply command to activation by all daemons, at most.
@@ -69,6 +73,15 @@
     site.proxies.iter().all(|it| activated_at(it, version).is_some())
 }
 
+fn watches(proxy: &Proxy) -> bool {
+    proxy.status()["watching"] == true
+}
+
+/// Times at which a proxy's searches for one that reaches the store ended, in seconds since 1970.
+fn searched_at(proxy: &Proxy) -> Vec<f64> {
+    proxy.events().iter().filter(|it| it["event"] == "substitute").filter_map(|it| it["time"].as_f64()).collect()
+}
+
 fn silence_store(relays: &Relays) {
     relays.store.silence_open_connections();
 }
@@ -78,6 +91,13 @@
     relays.peers.silence_open_connections();
 }
 
+/// Waits until all proxies have activated a version, and returns how long after `accepted` each did, in seconds.
+fn activation_delays(site: &Site, version: u32, accepted: f64) -> Vec<f64> {
+    assert!(eventually(|| all_activated(site, version.into())), "version {version} is not active everywhere");
+    let active_at = |it: &Proxy| activated_at(it, version.into()).expect("the version was just seen active");
+    site.proxies.iter().map(|it| active_at(it) - accepted).collect()
+}
+
 /// How long after a change the last proxy activates it if all open connections go silent `offset_ms` before the change
 /// or, if negative, after it.
 fn seconds_until_active(site: &Site, version: u32, silence: fn(&Relays), offset_ms: i64) -> f64 {
@@ -93,9 +113,7 @@
         thread::sleep(offset);
         silence_all();
     }
-    assert!(eventually(|| all_activated(site, version.into())), "version {version} is not active everywhere");
-    let active_at = |it: &Proxy| activated_at(it, version.into()).expect("the version was just seen active");
-    site.proxies.iter().map(|it| active_at(it) - accepted).fold(0.0, f64::max)
+    activation_delays(site, version, accepted).into_iter().fold(0.0, f64::max)
 }
 
 /// For each of `offsets_ms`, the longest time in seconds until a change is active; see [`seconds_until_active`]. Each
@@ -153,9 +171,8 @@
 #[case::after_eight_seconds(Duration::from_secs(8))]
 fn a_change_is_activated_in_time_while_a_single_proxy_reaches_the_store(#[case] delay: Duration) {
     let site = site_of(12);
-    let watches = |it: &Proxy| it.status()["watching"] == true;
     thread::sleep(WATCHER_SELECTION);
-    assert!(eventually(|| site.proxies.iter().filter(|it| watches(it)).count() == 6), "not six watchers");
+    assert!(eventually(|| site.proxies.iter().filter(|it| watches(it)).count() == WATCHERS), "not six watchers");
     let sighted = site.proxies.iter().position(|it| !watches(it)).expect("half of the proxies don't watch");
 
     let lost = site.proxies.iter().enumerate().filter(|it| it.0 != sighted);
@@ -170,14 +187,48 @@
     thread::sleep(delay);
     let accepted = now();
     site.store.put_config(two_routes(2));
-    assert!(eventually(|| all_activated(&site, 2)));
+    let after = activation_delays(&site, 2, accepted);
 
-    let active_at = |it: &Proxy| activated_at(it, 2).expect("the version was just seen active");
-    let after: Vec<f64> = site.proxies.iter().map(|it| active_at(it) - accepted).collect();
     println!("activated after {after:.2?} s");
     assert!(after.iter().all(|it| *it <= ACTIVATION_LIMIT_SECONDS), "activated only after {after:.2?} s");
 }
 
+/// Searches that are repeated too soon overload the store, and those that begin late delay a change.
+#[test]
+fn a_watcher_without_the_store_searches_at_once_and_again_after_five_seconds() {
+    let site = site_of(8);
+    thread::sleep(WATCHER_SELECTION);
+    let watcher = site.proxies.iter().find(|it| watches(it)).expect("a watcher");
+    let relay = &watcher.relays.as_ref().expect("a relay").store;
+
+    let lost_at = now();
+    relay.set_impairment(Impairment::CutTo);
+    relay.reset_open_connections();
+    thread::sleep(Duration::from_secs(7));
+    let searches: Vec<f64> = searched_at(watcher).into_iter().map(|it| it - lost_at).collect();
+
+    assert!(matches!(searches[..], [first, second] if first < 1.0 && (5.0..6.5).contains(&second)), "{searches:.2?}");
+}
+
+#[test]
+fn a_watcher_that_loses_the_store_again_searches_again_at_once() {
+    let site = site_of(8);
+    thread::sleep(WATCHER_SELECTION);
+    let watcher = site.proxies.iter().find(|it| watches(it)).expect("a watcher");
+    let relay = &watcher.relays.as_ref().expect("a relay").store;
+
+    let lost_at = [(); 2].map(|()| {
+        let at = now();
+        relay.reset_open_connections();
+        thread::sleep(Duration::from_millis(1_500));
+        at
+    });
+    let searches = searched_at(watcher);
+
+    let delays: Vec<f64> = searches.iter().zip(lost_at).map(|(searched, lost)| searched - lost).collect();
+    assert!(searches.len() == 2 && delays.iter().all(|it| (0.0..1.0).contains(it)), "{delays:.2?}");
+}
+
 /// The search for a proxy that reaches the store must not overload one that is down for all.
 #[test]
 fn a_store_that_is_down_for_all_gets_few_calls() {
@@ -188,16 +239,17 @@
 
     site.store.set_mode(StoreMode::Busy);
     let calls_before = site.store.request_count();
-    thread::sleep(outage);
+    thread::sleep(outage - LATE_IN_OUTAGE);
+    let watching = site.proxies.iter().filter(|it| watches(it)).count();
+    thread::sleep(LATE_IN_OUTAGE);
     let calls = site.store.request_count() - calls_before;
     site.store.set_mode(StoreMode::Good);
     let recovered = now();
     site.store.put_config(two_routes(2));
-    assert!(eventually(|| all_activated(&site, 2)));
+    let after = activation_delays(&site, 2, recovered).into_iter().fold(0.0, f64::max);
 
-    let active_at = |it: &Proxy| activated_at(it, 2).expect("the version was just seen active");
-    let after = site.proxies.iter().map(|it| active_at(it) - recovered).fold(0.0, f64::max);
     println!("{calls} calls; activated {after:.2} s after the store was back");
+    assert_eq!(watching, WATCHERS, "no proxy may watch in the place of others without having read the store");
     // A call of each proxy in two seconds on average.
     assert!(calls <= proxies as u64 * outage.as_secs() / 2, "{calls} calls in {outage:?}");
     assert!(after <= ACTIVATION_LIMIT_SECONDS, "activated {after:.2} s after the store was back");
@@ -251,10 +303,10 @@
 #[test]
 fn a_change_is_activated_in_time_after_all_watchers_lost_the_store() {
     let site = site_of(10);
-    let watches = |it: &&Proxy| it.status()["watching"] == true;
     thread::sleep(WATCHER_SELECTION);
-    assert!(eventually(|| site.proxies.iter().filter(watches).count() == 6), "not three watchers in each data centre");
-    let (cut, others): (Vec<&Proxy>, Vec<&Proxy>) = site.proxies.iter().partition(watches);
+    let all_watch = || site.proxies.iter().filter(|it| watches(it)).count() == WATCHERS;
+    assert!(eventually(all_watch), "not three watchers in each data centre");
+    let (cut, others): (Vec<&Proxy>, Vec<&Proxy>) = site.proxies.iter().partition(|it| watches(it));
 
     for it in cut.iter().filter_map(|it| it.relays.as_ref()) {
         it.store.set_impairment(Impairment::CutTo);
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -1,11 +1,14 @@
 //! Which peers proxies link to, and which proxies watch the store, for several fleet sizes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jayreach::{
     decide::{
         subset::{PeerCandidate, choose_peers},
-        watchers::{StoreWatch, choose_watchers, is_initial_watcher, is_watcher, watch_rank},
+        watchers::{
+            SUBSTITUTED_SEARCH_INTERVAL, StoreWatch, Substitution, choose_watchers, is_initial_watcher, is_watcher,
+            watch_rank,
+        },
     },
     util::mix,
 };
@@ -185,6 +188,48 @@
     assert_eq!(count_watchers(&fleet, Duration::from_secs(5)), 6);
 }
 
+/// A lost connection must be noticed within three seconds; the worst case is a watch that starts just before the loss.
+#[rstest]
+#[case(1)]
+#[case(6)]
+#[case(15)]
+fn a_lost_connection_is_noticed_in_time_for_a_change(#[case] watchers: usize) {
+    let longest_delay_before_the_next_call = Duration::from_millis(300);
+
+    for since_activation in (0..5_000).map(Duration::from_millis) {
+        for index in 0..watchers {
+            let watch = StoreWatch::of_watcher(index, watchers, since_activation);
+
+            assert!(watch.wait < watch.timeout);
+            assert!(watch.timeout + longest_delay_before_the_next_call < Duration::from_secs(3), "{watch:?}");
+        }
+    }
+}
+
+#[test]
+fn watches_that_begin_together_have_different_lengths() {
+    let mut waits: Vec<Duration> =
+        (0..6).map(|it| StoreWatch::of_watcher(it, 6, Duration::from_millis(400)).wait).collect();
+
+    waits.sort_unstable();
+
+    assert!(waits.windows(2).all(|it| it[0] < it[1]), "{waits:?}");
+}
+
+#[test]
+fn a_substitute_watches_beyond_the_next_search_and_for_a_limited_time() {
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut substitution = Substitution::default();
+    assert!(!substitution.is_active(start));
+
+    substitution.start(start);
+
+    assert!(substitution.is_active(start + second));
+    assert!(substitution.is_active(start + SUBSTITUTED_SEARCH_INTERVAL + second));
+    assert!(!substitution.is_active(start + 10 * second), "the substitution ends");
+}
+
 /// The watchers' connections are all lost without an error at one moment after a change. The next of them must notice it
 /// within half of the two seconds in which a change has to be active, with time for the change to spread.
 #[rstest]
