Test: the single proxy that reaches the store is rarely a watcher's first choice

a_change_is_activated_in_time_while_a_single_proxy_reaches_the_store had no teeth: among twelve proxies each of the six watchers has a share of one, so that the first round finds any.

The fleet has 24 proxies now, and each case another one that reaches the store; bound and delays are the same.

--- a/standins/tests/late_configuration.rs
+++ b/standins/tests/late_configuration.rs
@@ -163,17 +163,22 @@
     assert!(late.is_empty(), "{late:.2?}");
 }
 
-/// All watchers and all other proxies but one lose the store: half of them are refused, the others get no answer.
+/// All watchers and all other proxies but one lose the store: half of them are refused, the others get no answer. There
+/// are several other proxies for each watcher, so that its first choice is rarely the right one.
 #[rstest]
-#[case::at_once(Duration::ZERO)]
-#[case::after_a_second(Duration::from_secs(1))]
-#[case::after_three_seconds(Duration::from_secs(3))]
-#[case::after_eight_seconds(Duration::from_secs(8))]
-fn a_change_is_activated_in_time_while_a_single_proxy_reaches_the_store(#[case] delay: Duration) {
-    let site = site_of(12);
+#[case::at_once(Duration::ZERO, 0)]
+#[case::after_a_second(Duration::from_secs(1), 5)]
+#[case::after_three_seconds(Duration::from_secs(3), 11)]
+#[case::after_eight_seconds(Duration::from_secs(8), 17)]
+fn a_change_is_activated_in_time_while_a_single_proxy_reaches_the_store(
+    #[case] delay: Duration,
+    #[case] sighted_non_watcher: usize,
+) {
+    let site = site_of(24);
     thread::sleep(WATCHER_SELECTION);
     assert!(eventually(|| site.proxies.iter().filter(|it| watches(it)).count() == WATCHERS), "not six watchers");
-    let sighted = site.proxies.iter().position(|it| !watches(it)).expect("half of the proxies don't watch");
+    let mut non_watchers = site.proxies.iter().enumerate().filter(|it| !watches(it.1)).map(|it| it.0);
+    let sighted = non_watchers.nth(sighted_non_watcher).expect("eighteen proxies don't watch");
 
     let lost = site.proxies.iter().enumerate().filter(|it| it.0 != sighted);
     for (at, relays) in lost.filter_map(|(at, it)| Some((at, it.relays.as_ref()?))) {
