An overdue request is hedged though its target latency has passed

Callers saw 504 at the end of a long class's timeout (and 502 at a stop) while a second run would have taken a second: a hedge starts after four mean service times and 0.3 s, but its reservation had to start by the target latency less 1.8 means, like a first run.

When a hedge may start is now decided in decide/hedge: until half a mean service time before the request must be answered.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod fingerprint;
 pub mod guard_retry_budget;
+pub mod hedge;
 pub mod incarnation;
 pub mod latest_start;
 pub mod origin;
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -3,6 +3,7 @@
 //! A request that must not run twice is retried only if the last attempt is known not to have run.
 
 use std::{
+    future::pending,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -11,7 +12,7 @@
 
 use super::{GuardRef, IngressRequest, RequestOutcome, Reservation, ReserveFailure};
 use crate::{
-    decide::incarnation::EndpointId,
+    decide::{hedge::OpenRun, incarnation::EndpointId},
     proxy::{
         Proxy, clock,
         events::{AttemptFailure, Event},
@@ -22,10 +23,6 @@
 
 /// How often a request may move to another endpoint because an attempt did not run.
 const MAX_MOVES: u32 = 6;
-/// An idempotent request is hedged after this many times its mean service time plus `HEDGE_MARGIN`.
-const HEDGE_FACTOR: u32 = 4;
-/// Added because short runs vary more.
-const HEDGE_MARGIN: Duration = Duration::from_millis(300);
 /// The timeout of a run query that is relayed by another proxy.
 const RELAYED_QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The pause between two run queries.
@@ -135,15 +132,12 @@
         let start = clock::now();
         let primary = self.run_reserved(req, reservation.clone());
         tokio::pin!(primary);
-        let hedge_delay = self.hedge_at(req).saturating_duration_since(start);
-        if let Ok(end) = timeout(hedge_delay, &mut primary).await {
-            return (reservation, end, clock::now().saturating_duration_since(start));
-        }
-        tried.push(reservation.grant.endpoint.clone());
         let hedge_reservation = tokio::select! {
+            biased;
             end = &mut primary => return (reservation, end, clock::now().saturating_duration_since(start)),
-            it = self.reserve_endpoint(req, tried) => it.ok(),
+            it = self.reserve_hedge(req, &reservation, tried, start) => it,
         };
+        tried.push(reservation.grant.endpoint.clone());
         let Some(hedge_reservation) = hedge_reservation else {
             return (reservation, primary.await, clock::now().saturating_duration_since(start));
         };
@@ -162,16 +156,40 @@
         (reservation, end, clock::now().saturating_duration_since(start))
     }
 
-    /// When the request may be hedged; its answer deadline if it must not be.
-    fn hedge_at(&self, req: &IngressRequest) -> Instant {
-        // A request that may have crashed an endpoint runs at one endpoint at a time.
-        let is_suspect = self.guard.crash_record(req.fingerprint).is_suspect();
-        if is_suspect || !req.is_idempotent() || req.attempts.get() + 1 >= req.route().max_attempts {
-            return req.answer_deadline;
+    /// Waits until the run that started at `started_at` under `primary` should be hedged, and reserves another endpoint.
+    /// Returns `None` if there is none; doesn't return if the request must not be hedged.
+    async fn reserve_hedge(
+        self: &Rc<Self>,
+        req: &IngressRequest,
+        primary: &Reservation,
+        tried: &[EndpointId],
+        started_at: Instant,
+    ) -> Option<Reservation> {
+        let open_run = self.open_run(req, started_at);
+        let Some(hedge_at) = open_run.hedge_at() else { return pending().await };
+        sleep(hedge_at.saturating_duration_since(clock::now())).await;
+        if !self.may_hedge(req) {
+            return pending().await;
+        }
+        let tried: Vec<EndpointId> = tried.iter().chain([&primary.grant.endpoint]).cloned().collect();
+        self.reserve_endpoint_by(req, &tried, open_run.latest_hedge_start()).await.ok()
+    }
+
+    fn open_run(&self, req: &IngressRequest, started_at: Instant) -> OpenRun {
+        OpenRun {
+            started_at,
+            mean: self.ingress.borrow().service_times.mean(&req.route().name),
+            target_latency: req.route().target_latency,
+            deadline: self.answer_deadline(req),
         }
-        let mean_time = self.ingress.borrow().service_times.mean(&req.route().name);
-        mean_time
-            .map_or(req.answer_deadline, |it| req.answer_deadline.min(clock::now() + it * HEDGE_FACTOR + HEDGE_MARGIN))
+    }
+
+    /// Whether the request may run at one more endpoint while it is running. A request that may have crashed an endpoint
+    /// runs at one endpoint at a time.
+    fn may_hedge(&self, req: &IngressRequest) -> bool {
+        req.is_idempotent()
+            && req.attempts.get() < req.route().max_attempts
+            && !self.guard.crash_record(req.fingerprint).is_suspect()
     }
 
     /// Runs the request under a reservation and counts the attempt.
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -94,9 +94,19 @@
         self: &Rc<Self>,
         req: &IngressRequest,
         tried: &[EndpointId],
+    ) -> Result<Reservation, ReserveFailure> {
+        self.reserve_endpoint_by(req, tried, self.start_deadline(req)).await
+    }
+
+    /// Waits until `start_deadline` for a grant for one of the service's endpoints, except those `tried` before.
+    pub(super) async fn reserve_endpoint_by(
+        self: &Rc<Self>,
+        req: &IngressRequest,
+        tried: &[EndpointId],
+        start_deadline: Instant,
     ) -> Result<Reservation, ReserveFailure> {
         let start = clock::now();
-        let result = self.try_reserve(req, tried, start).await;
+        let result = self.try_reserve(req, tried, start_deadline, start).await;
         req.reservation_wait.set(req.reservation_wait.get() + clock::now().saturating_duration_since(start));
         result
     }
@@ -105,11 +115,11 @@
         self: &Rc<Self>,
         req: &IngressRequest,
         tried: &[EndpointId],
+        start_deadline: Instant,
         start: Instant,
     ) -> Result<Reservation, ReserveFailure> {
         /// If all guards refuse, the ranking may have been stale and is repeated; more rounds seldom help.
         const MAX_ROUNDS: u32 = 3;
-        let start_deadline = self.start_deadline(req);
         let mut failure = ReserveFailure::NoCapacity;
         self.note_service_needed(&req.service);
         for _ in 0..MAX_ROUNDS {
@@ -137,17 +147,20 @@
     /// The latest time at which the request should start; waiting for a grant beyond it is useless.
     fn start_deadline(&self, req: &IngressRequest) -> Instant {
         let route = req.route();
-        let answer_deadline =
-            self.stop.get().map_or(req.answer_deadline, |it| req.answer_deadline.min(it.answer_deadline()));
         let timing = WorkTiming {
             arrived: req.arrived,
             target_latency: route.target_latency,
-            deadline: answer_deadline,
+            deadline: self.answer_deadline(req),
             is_nested_call: req.is_nested_call(),
         };
         latest_start(timing, self.ingress.borrow().service_times.mean(&route.name))
     }
 
+    /// The time by which this proxy answers the request, earlier than the request's own while it stops.
+    pub(super) fn answer_deadline(&self, req: &IngressRequest) -> Instant {
+        self.stop.get().map_or(req.answer_deadline, |it| req.answer_deadline.min(it.answer_deadline()))
+    }
+
     /// Ranks the reachable endpoints that could run the request, except those `tried` before.
     fn rank_endpoints(&self, req: &IngressRequest, tried: &[EndpointId]) -> RankedEndpoints {
         let local = self.guard.serving_endpoint().filter(|it| it.service == req.service && !tried.contains(&it.id));
