A stopping proxy has long requests run at another endpoint in time

Callers saw: 502 in place of an answer at the end of a VM's grace, for idempotent requests that had run for seconds at one live endpoint, while other endpoints were idle.

Cause: a stopping proxy knows by when it must answer, but only a run that was overdue (four mean service times) got a second one. A class that the proxy had not seen got none at all, and one refusal of the reservation ended it.

Change: decide/hedge also begins a second run three mean service times and a second before the final answers, once the first has lasted half a mean; a class with unknown service time counts as a third of its target latency. A refused reservation is repeated each 0.3 s while a short run still fits. Never more than the route's attempts, never for a request that isn't idempotent or that may have crashed an endpoint.

--- a/src/decide/hedge.rs
+++ b/src/decide/hedge.rs
@@ -1,7 +1,7 @@
 //! Decides when an idempotent request that is running also gets a run at a second endpoint, a hedge.
 //!
-//! A run that takes much longer than usual may never end. And a proxy that stops must answer all its requests by then:
-//! one whose run would end later gets no answer, although a second run might have ended in time.
+//! A run that takes much longer than usual may never end. And a run may outlast its ingress: a proxy that stops must
+//! answer all its requests by then, and a long run would leave its caller without the answer that a second run gives.
 
 use std::time::{Duration, Instant};
 
@@ -9,12 +9,36 @@
 const OVERDUE_FACTOR: u32 = 4;
 /// Added because short runs vary more.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(300);
-/// Divisor of the mean service time of a class. A hedge starts only while this much time is left, in which a good part
-/// of the runs end.
-const MIN_TIME_DIVISOR: u32 = 2;
+/// Few runs take longer than this many times the mean service time of their class.
+const LONG_RUN_FACTOR: u32 = 3;
+/// Time for finding an endpoint with a free slot.
+const RESERVATION_TIME: Duration = Duration::from_secs(1);
+/// Divisor of the mean service time. A hedge waits until its request has run for that long, as many runs end by then,
+/// and starts only while that much time is left.
+const SHORT_RUN_DIVISOR: u32 = 2;
 /// Divisor of the target latency that gives the assumed service time of a class with unknown service time.
 const UNKNOWN_MEAN_DIVISOR: u32 = 3;
 
+/// What an ingress knows about its own end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IngressStop {
+    /// It is not expected to stop.
+    NotExpected,
+    /// It may be asked to stop at any time, and must then answer its requests within this time.
+    Soon(Duration),
+    /// It stops and must have answered its requests by then.
+    AnswersBy(Instant),
+}
+
+/// Why a request is hedged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeReason {
+    /// Its run takes much longer than usual.
+    Overdue,
+    /// Its run may outlast its ingress.
+    IngressStops,
+}
+
 /// A run of an idempotent request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenRun {
@@ -24,22 +48,40 @@
     pub mean: Option<Duration>,
     /// The latency that its class aims for.
     pub target_latency: Duration,
-    /// The time by which its request must be answered.
+    /// The time by which its request must be answered, whether the ingress stops or not.
     pub deadline: Instant,
 }
 
 impl OpenRun {
-    /// When the request should get a second run; `None` if it should not.
-    pub fn hedge_at(&self) -> Option<Instant> {
+    /// When and why the request should get a second run; `None` if it should not.
+    pub fn hedge_at(&self, stop: IngressStop) -> Option<(Instant, HedgeReason)> {
         let overdue_at = self.mean.map(|it| self.started_at + it * OVERDUE_FACTOR + OVERDUE_MARGIN);
-        overdue_at.filter(|it| *it < self.deadline)
+        let overdue = overdue_at.map(|it| (it, HedgeReason::Overdue));
+        let before_stop = self.hedge_before(stop).map(|it| (it, HedgeReason::IngressStops));
+        let due = [overdue, before_stop].into_iter().flatten().min_by_key(|it| it.0);
+        due.filter(|it| it.0 < self.latest_hedge_start(stop))
+    }
+
+    /// The latest time at which a long run still ends before `stop` does; `None` if the request ends before that anyway.
+    fn hedge_before(&self, stop: IngressStop) -> Option<Instant> {
+        let long_run = self.expected_time() * LONG_RUN_FACTOR + RESERVATION_TIME;
+        let earliest = self.started_at + self.expected_time() / SHORT_RUN_DIVISOR;
+        match stop {
+            IngressStop::NotExpected => None,
+            IngressStop::Soon(answer_time) => (long_run > answer_time).then_some(earliest),
+            IngressStop::AnswersBy(by) if by >= self.deadline => None,
+            IngressStop::AnswersBy(by) => Some(by.checked_sub(long_run).map_or(earliest, |it| it.max(earliest))),
+        }
     }
 
     /// The instant after which a second run should not start. Unlike a first run, it may start when the target latency
     /// has passed: what is left to gain is an answer at all.
-    pub fn latest_hedge_start(&self) -> Instant {
-        let reserve = self.expected_time() / MIN_TIME_DIVISOR;
-        self.deadline.checked_sub(reserve).unwrap_or(self.started_at)
+    pub fn latest_hedge_start(&self, stop: IngressStop) -> Instant {
+        let deadline = match stop {
+            IngressStop::AnswersBy(by) => by.min(self.deadline),
+            IngressStop::NotExpected | IngressStop::Soon(_) => self.deadline,
+        };
+        deadline.checked_sub(self.expected_time() / SHORT_RUN_DIVISOR).unwrap_or(self.started_at)
     }
 
     fn expected_time(&self) -> Duration {
--- a/src/decide/shutdown.rs
+++ b/src/decide/shutdown.rs
@@ -79,6 +79,11 @@
         self.stage
     }
 
+    /// Time from a SIGTERM until all open requests must be answered.
+    pub fn answer_time(grace: Duration) -> Duration {
+        grace.saturating_sub(FINAL_ANSWERS_BEFORE_END)
+    }
+
     /// When all open requests must be answered.
     pub fn answer_deadline(&self) -> Instant {
         self.killed_at - FINAL_ANSWERS_BEFORE_END.min(self.grace)
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -14,7 +14,10 @@
 use serde::Serialize;
 
 use crate::{
-    decide::{fingerprint::Fingerprint, incarnation::UnixMillis, rate_limit::RequestRate, suspicion::EndpointStanding},
+    decide::{
+        fingerprint::Fingerprint, hedge::HedgeReason, incarnation::UnixMillis, rate_limit::RequestRate,
+        suspicion::EndpointStanding,
+    },
     proxy::{
         directory::ProxyName,
         message::{GrantRefusal, NotRunReason, UnknownReason},
@@ -184,6 +187,18 @@
     Unknown(UnknownReason),
     /// The attempt is still running, but took so long that the request was also sent to another endpoint.
     Overdue,
+    /// The attempt is still running, but this proxy stops or its endpoint leaves, so the request was also sent to another
+    /// endpoint.
+    IngressStops,
+}
+
+impl From<HedgeReason> for AttemptFailure {
+    fn from(it: HedgeReason) -> Self {
+        match it {
+            HedgeReason::Overdue => Self::Overdue,
+            HedgeReason::IngressStops => Self::IngressStops,
+        }
+    }
 }
 
 impl Event<'_> {
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -12,7 +12,10 @@
 
 use super::{GuardRef, IngressRequest, RequestOutcome, Reservation, ReserveFailure};
 use crate::{
-    decide::{hedge::OpenRun, incarnation::EndpointId},
+    decide::{
+        hedge::{HedgeReason, OpenRun},
+        incarnation::EndpointId,
+    },
     proxy::{
         Proxy, clock,
         events::{AttemptFailure, Event},
@@ -23,6 +26,8 @@
 
 /// How often a request may move to another endpoint because an attempt did not run.
 const MAX_MOVES: u32 = 6;
+/// The pause after which the guards are asked again for a hedge that they refused.
+const HEDGE_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// The timeout of a run query that is relayed by another proxy.
 const RELAYED_QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The pause between two run queries.
@@ -120,8 +125,8 @@
         req.attempts.get() < req.route().max_attempts && clock::now() < req.answer_deadline
     }
 
-    /// Runs the request under a reservation. An idempotent request that is overdue is hedged: it also runs at a second
-    /// endpoint if one can be reserved, and the first successful answer counts. Returns the reservation whose run ended
+    /// Runs the request under a reservation. An idempotent request that is overdue, or whose ingress stops, is hedged: it
+    /// also runs at a second endpoint if one can be reserved, and the first successful answer counts. Returns the reservation whose run ended
     /// the attempt.
     async fn run_attempt(
         self: &Rc<Self>,
@@ -132,21 +137,14 @@
         let start = clock::now();
         let primary = self.run_reserved(req, reservation.clone());
         tokio::pin!(primary);
-        let hedge_reservation = tokio::select! {
+        let (hedge_reservation, reason) = tokio::select! {
             biased;
             end = &mut primary => return (reservation, end, clock::now().saturating_duration_since(start)),
             it = self.reserve_hedge(req, &reservation, tried, start) => it,
         };
         tried.push(reservation.grant.endpoint.clone());
-        let Some(hedge_reservation) = hedge_reservation else {
-            return (reservation, primary.await, clock::now().saturating_duration_since(start));
-        };
-        self.report_failed_attempt(
-            req,
-            &reservation,
-            AttemptFailure::Overdue,
-            clock::now().saturating_duration_since(start),
-        );
+        let took = clock::now().saturating_duration_since(start);
+        self.report_failed_attempt(req, &reservation, reason.into(), took);
         let hedge = self.run_reserved(req, hedge_reservation.clone());
         tokio::pin!(hedge);
         let (end, reservation) = tokio::select! {
@@ -157,22 +155,42 @@
     }
 
     /// Waits until the run that started at `started_at` under `primary` should be hedged, and reserves another endpoint.
-    /// Returns `None` if there is none; doesn't return if the request must not be hedged.
+    /// Doesn't return if the request must not be hedged.
     async fn reserve_hedge(
         self: &Rc<Self>,
         req: &IngressRequest,
         primary: &Reservation,
         tried: &[EndpointId],
         started_at: Instant,
-    ) -> Option<Reservation> {
-        let open_run = self.open_run(req, started_at);
-        let Some(hedge_at) = open_run.hedge_at() else { return pending().await };
-        sleep(hedge_at.saturating_duration_since(clock::now())).await;
-        if !self.may_hedge(req) {
-            return pending().await;
-        }
+    ) -> (Reservation, HedgeReason) {
         let tried: Vec<EndpointId> = tried.iter().chain([&primary.grant.endpoint]).cloned().collect();
-        self.reserve_endpoint_by(req, &tried, open_run.latest_hedge_start()).await.ok()
+        loop {
+            let reason = self.wait_for_hedge(req, started_at).await;
+            if !self.may_hedge(req) {
+                return pending().await;
+            }
+            let latest_start = self.open_run(req, started_at).latest_hedge_start(self.ingress_stop());
+            if let Ok(it) = self.reserve_hedge_endpoint(req, &tried, latest_start).await {
+                return (it, reason);
+            }
+            sleep(HEDGE_RETRY_PAUSE).await;
+        }
+    }
+
+    /// Waits until the run should be hedged.
+    async fn wait_for_hedge(&self, req: &IngressRequest, started_at: Instant) -> HedgeReason {
+        loop {
+            match self.open_run(req, started_at).hedge_at(self.ingress_stop()) {
+                None => self.wait_for_ingress_stop_change().await,
+                Some((at, reason)) => {
+                    let left = at.saturating_duration_since(clock::now());
+                    if left.is_zero() {
+                        return reason;
+                    }
+                    _ = timeout(left, self.wait_for_ingress_stop_change()).await;
+                }
+            }
+        }
     }
 
     fn open_run(&self, req: &IngressRequest, started_at: Instant) -> OpenRun {
@@ -180,7 +198,7 @@
             started_at,
             mean: self.ingress.borrow().service_times.mean(&req.route().name),
             target_latency: req.route().target_latency,
-            deadline: self.answer_deadline(req),
+            deadline: req.answer_deadline,
         }
     }
 
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -95,18 +95,30 @@
         req: &IngressRequest,
         tried: &[EndpointId],
     ) -> Result<Reservation, ReserveFailure> {
-        self.reserve_endpoint_by(req, tried, self.start_deadline(req)).await
+        /// If all guards refuse, the ranking may have been stale and is repeated; more rounds seldom help.
+        const MAX_ROUNDS: u32 = 3;
+        self.reserve_within(req, tried, self.start_deadline(req), MAX_ROUNDS).await
+    }
+
+    /// Like [`Self::reserve_endpoint`] for a hedge that must start by `latest_start`; asks each guard once.
+    pub(super) async fn reserve_hedge_endpoint(
+        self: &Rc<Self>,
+        req: &IngressRequest,
+        tried: &[EndpointId],
+        latest_start: Instant,
+    ) -> Result<Reservation, ReserveFailure> {
+        self.reserve_within(req, tried, latest_start, 1).await
     }
 
-    /// Waits until `start_deadline` for a grant for one of the service's endpoints, except those `tried` before.
-    pub(super) async fn reserve_endpoint_by(
+    async fn reserve_within(
         self: &Rc<Self>,
         req: &IngressRequest,
         tried: &[EndpointId],
         start_deadline: Instant,
+        max_rounds: u32,
     ) -> Result<Reservation, ReserveFailure> {
         let start = clock::now();
-        let result = self.try_reserve(req, tried, start_deadline, start).await;
+        let result = self.try_reserve(req, tried, start_deadline, max_rounds).await;
         req.reservation_wait.set(req.reservation_wait.get() + clock::now().saturating_duration_since(start));
         result
     }
@@ -116,13 +128,12 @@
         req: &IngressRequest,
         tried: &[EndpointId],
         start_deadline: Instant,
-        start: Instant,
+        max_rounds: u32,
     ) -> Result<Reservation, ReserveFailure> {
-        /// If all guards refuse, the ranking may have been stale and is repeated; more rounds seldom help.
-        const MAX_ROUNDS: u32 = 3;
+        let start = clock::now();
         let mut failure = ReserveFailure::NoCapacity;
         self.note_service_needed(&req.service);
-        for _ in 0..MAX_ROUNDS {
+        for _ in 0..max_rounds {
             let mut ranked = self.rank_endpoints(req, tried);
             let wait_until = start_deadline.min(start + MAX_LINK_WAIT);
             while ranked.endpoints.is_empty() && clock::now() < wait_until && self.may_be_reachable_soon(&req.service) {
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -8,7 +8,10 @@
 };
 
 use crate::{
-    decide::shutdown::{Shutdown, ShutdownStage},
+    decide::{
+        hedge::IngressStop,
+        shutdown::{Shutdown, ShutdownStage},
+    },
     proxy::{Proxy, clock, events::Event, settings::Settings},
     startup_signals,
 };
@@ -137,6 +140,16 @@
         }
     }
 
+    /// What this proxy knows about its own end.
+    pub(super) fn ingress_stop(&self) -> IngressStop {
+        self.stop.get().map_or(IngressStop::NotExpected, |it| IngressStop::AnswersBy(it.answer_deadline()))
+    }
+
+    /// Waits until [`Self::ingress_stop`] may have changed.
+    pub(super) async fn wait_for_ingress_stop_change(&self) {
+        self.stop_requested.notified().await;
+    }
+
     /// Waits until the shutdown has reached `stage` or is done.
     async fn wait_for_stage(&self, stage: ShutdownStage) {
         while let Some(mut shutdown) = self.stop.get() {
--- a/standins/tests/hedged_requests.rs
+++ b/standins/tests/hedged_requests.rs
@@ -13,7 +13,7 @@
 use standins::platform::{
     caller::CallerRequest,
     endpoint::{Endpoint, EndpointMode},
-    fixtures::{arrivals_of, desk_endpoints, explained_cause, run_count, set_modes},
+    fixtures::explained_cause,
     http::{self, Message},
     site::{HOST, Proxy, Site, config, eventually, route},
 };
@@ -25,31 +25,53 @@
 
 /// Starts two endpoints of `desk` with one slot each and one of `ledger`, to whose proxy callers connect.
 fn start_site(work_time: Duration, target_latency: Duration) -> Site {
+    start_larger_site(2, work_time, target_latency)
+}
+
+/// Starts a site with this many endpoints of `desk`.
+fn start_larger_site(desk_endpoints: usize, work_time: Duration, target_latency: Duration) -> Site {
     let mut site = Site::start().expect("the store starts");
     site.store.put_config(long_routes(target_latency));
-    site.add_vm("desk", "dc-1", 1, work_time).expect("the proxy starts");
-    site.add_vm("desk", "dc-1", 1, work_time).expect("the proxy starts");
+    for _ in 0..desk_endpoints {
+        site.add_vm("desk", "dc-1", 1, work_time).expect("the proxy starts");
+    }
     site.add_vm("ledger", "dc-1", 1, work_time).expect("the proxy starts");
-    assert!(site.wait_until_ready(3), "not every proxy lists all three endpoints");
-    let linked = eventually(|| site.proxies.iter().all(|it| it.linked_proxies() == 2));
-    assert!(linked, "not every proxy has links to both others");
+    assert!(site.wait_until_ready(desk_endpoints + 1), "not every proxy lists all endpoints");
+    let linked = eventually(|| site.proxies.iter().all(|it| it.linked_proxies() == desk_endpoints));
+    assert!(linked, "not every proxy has links to all others");
     site
 }
 
 /// An idempotent route `/read/` and a non-idempotent route `/write/` with two attempts each.
 fn long_routes(target_latency: Duration) -> Value {
-    let routes = [("read", "/read/", "idempotent"), ("write", "/write/", "non_idempotent")].map(|(name, prefix, kind)| {
-        let mut it = route(prefix, kind, 0, &[("desk", 1)]);
-        it["timeout_s"] = json!(TIMEOUT.as_secs_f64());
-        it["target_latency_s"] = json!(target_latency.as_secs_f64());
-        (name, it)
-    });
+    let routes =
+        [("read", "/read/", "idempotent"), ("write", "/write/", "non_idempotent")].map(|(name, prefix, kind)| {
+            let mut it = route(prefix, kind, 0, &[("desk", 1)]);
+            it["timeout_s"] = json!(TIMEOUT.as_secs_f64());
+            it["target_latency_s"] = json!(target_latency.as_secs_f64());
+            (name, it)
+        });
     config(1, &routes)
 }
 
 /// The proxy that callers connect to.
 fn ingress(site: &Site) -> &Proxy {
-    &site.proxies[2]
+    site.proxies.last().expect("the site has proxies")
+}
+
+/// The endpoints of `desk`.
+fn desk_endpoints(site: &Site) -> Vec<Endpoint> {
+    let desk = site.proxies.iter().map(|it| &it.endpoint).filter(|it| it.service() == "desk");
+    desk.cloned().collect()
+}
+
+fn set_modes(site: &Site, mode: EndpointMode) {
+    desk_endpoints(site).iter().for_each(|it| it.set_mode(mode));
+}
+
+/// Number of endpoints of `desk` at which a request ran.
+fn run_count(site: &Site, request_id: &str) -> usize {
+    desk_endpoints(site).iter().filter(|it| has_arrival(it, request_id)).count()
 }
 
 fn send(site: &Site, method_and_target: &str, request_id: &str) -> TcpStream {
@@ -65,7 +87,7 @@
 fn send_hanging(site: &Site, method_and_target: &str, request_id: &str) -> (TcpStream, Endpoint) {
     set_modes(site, EndpointMode::Hangs);
     let stream = send(site, method_and_target, request_id);
-    assert!(eventually(|| arrivals_of(site, request_id).len() == 1), "the request did not arrive");
+    assert!(eventually(|| run_count(site, request_id) == 1), "the request did not arrive");
     let other = desk_endpoints(site).into_iter().find(|it| !has_arrival(it, request_id));
     (stream, other.expect("one endpoint did not get the request"))
 }
@@ -109,3 +131,90 @@
 
     assert_eq!(run_count(&site, "r-1"), 1);
 }
+
+/// Sends a request that hangs at the endpoint that it reaches first, and stops its ingress. Returns the response and the
+/// time that it took from the SIGTERM on.
+fn stop_while_hanging(site: &Site, method_and_target: &str, request_id: &str) -> (Message, Duration) {
+    let (stream, other) = send_hanging(site, method_and_target, request_id);
+    other.set_mode(EndpointMode::Good);
+    thread::sleep(Duration::from_millis(1_000));
+    let stopped_at = Instant::now();
+    ingress(site).signal(Signal::TERM);
+    let response = read_response(stream);
+    (response, stopped_at.elapsed())
+}
+
+/// Short of four mean service times, so the request is not overdue before the final answers.
+#[rstest]
+#[case::of_an_unknown_class(0)]
+#[case::of_a_known_class(2)]
+fn a_stopping_ingress_has_a_long_request_run_at_another_endpoint(#[case] requests_before: u32) {
+    let site = start_site(Duration::from_millis(700), Duration::from_secs(2));
+    for i in 0..requests_before {
+        assert_eq!(read_response(send(&site, "GET /read/x", &format!("r-first-{i}"))).status(), 200);
+    }
+
+    let (response, took) = stop_while_hanging(&site, "GET /read/x", "r-1");
+
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+    assert!(took < ANSWER_TIME, "{took:?}");
+    assert_eq!(run_count(&site, "r-1"), 2);
+}
+
+#[test]
+fn a_stopping_ingress_hedges_a_request_that_is_older_than_its_target_latency() {
+    let site = start_site(Duration::from_millis(500), Duration::from_millis(600));
+
+    let (response, took) = stop_while_hanging(&site, "GET /read/x", "r-1");
+
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+    assert!(took < ANSWER_TIME, "{took:?}");
+}
+
+/// No other endpoint serves when the hedge is due.
+#[test]
+fn a_stopping_ingress_asks_again_if_the_first_reservation_is_refused() {
+    let site = start_site(Duration::from_millis(500), Duration::from_secs(2));
+    let (stream, other) = send_hanging(&site, "GET /read/x", "r-1");
+    other.set_mode(EndpointMode::Good);
+    let proxy = site.proxies.iter().find(|it| it.endpoint.address == other.address).expect("it is one of the site");
+    assert_eq!(other.announce(proxy.announcements, true).ok(), Some(200));
+    assert!(eventually(|| ingress(&site).known_endpoints() == 2), "the endpoint is still listed");
+    thread::sleep(Duration::from_millis(1_000));
+
+    ingress(&site).signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(500));
+    other.replace("i-next");
+    let response = read_response(stream);
+
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+}
+
+/// The first attempt fails, the second one hangs, and a third endpoint is idle.
+#[test]
+fn a_stopping_ingress_keeps_to_the_most_attempts_of_a_route() {
+    let site = start_larger_site(3, Duration::from_millis(500), Duration::from_secs(2));
+    set_modes(&site, EndpointMode::FailsSlowly);
+    let stream = send(&site, "GET /read/x", "r-1");
+    assert!(eventually(|| run_count(&site, "r-1") == 1), "the request did not arrive");
+    let others: Vec<Endpoint> = desk_endpoints(&site).into_iter().filter(|it| !has_arrival(it, "r-1")).collect();
+    others.iter().for_each(|it| it.set_mode(EndpointMode::Hangs));
+    assert!(eventually(|| run_count(&site, "r-1") == 2), "the request was not sent to another endpoint");
+    others.iter().for_each(|it| it.set_mode(EndpointMode::Good));
+
+    ingress(&site).signal(Signal::TERM);
+    let response = read_response(stream);
+
+    assert_eq!(response.status(), 502, "{}", explained_cause(&site, "r-1"));
+    assert_eq!(run_count(&site, "r-1"), 2);
+}
+
+#[test]
+fn a_stopping_ingress_never_sends_a_request_that_is_not_idempotent_twice() {
+    let site = start_site(Duration::from_millis(500), Duration::from_secs(2));
+
+    let (response, _) = stop_while_hanging(&site, "POST /write/x", "r-1");
+
+    assert_eq!(response.status(), 502, "it may have run");
+    assert_eq!(run_count(&site, "r-1"), 1);
+}
