Long requests are hedged when the endpoint beside their ingress says that it leaves

The platform stops a VM some seconds after its endpoint has said that it leaves. From that word on, a request whose long run would not fit between a SIGTERM and the final answers is hedged once it has run for a mean service time. A long run is two mean service times here, and a second for the reservation.

--- a/src/decide/hedge.rs
+++ b/src/decide/hedge.rs
@@ -10,11 +10,11 @@
 /// Added because short runs vary more.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(300);
 /// Few runs take longer than this many times the mean service time of their class.
-const LONG_RUN_FACTOR: u32 = 3;
+const LONG_RUN_FACTOR: u32 = 2;
 /// Time for finding an endpoint with a free slot.
 const RESERVATION_TIME: Duration = Duration::from_secs(1);
-/// Divisor of the mean service time. A hedge waits until its request has run for that long, as many runs end by then,
-/// and starts only while that much time is left.
+/// Divisor of the mean service time. Many runs end within that time, so a hedge before a stop waits for it, and starts
+/// only while it is left.
 const SHORT_RUN_DIVISOR: u32 = 2;
 /// Divisor of the target latency that gives the assumed service time of a class with unknown service time.
 const UNKNOWN_MEAN_DIVISOR: u32 = 3;
@@ -65,12 +65,16 @@
     /// The latest time at which a long run still ends before `stop` does; `None` if the request ends before that anyway.
     fn hedge_before(&self, stop: IngressStop) -> Option<Instant> {
         let long_run = self.expected_time() * LONG_RUN_FACTOR + RESERVATION_TIME;
-        let earliest = self.started_at + self.expected_time() / SHORT_RUN_DIVISOR;
         match stop {
             IngressStop::NotExpected => None,
-            IngressStop::Soon(answer_time) => (long_run > answer_time).then_some(earliest),
+            IngressStop::Soon(answer_time) => {
+                (long_run > answer_time).then_some(self.started_at + self.expected_time())
+            }
             IngressStop::AnswersBy(by) if by >= self.deadline => None,
-            IngressStop::AnswersBy(by) => Some(by.checked_sub(long_run).map_or(earliest, |it| it.max(earliest))),
+            IngressStop::AnswersBy(by) => {
+                let earliest = self.started_at + self.expected_time() / SHORT_RUN_DIVISOR;
+                Some(by.checked_sub(long_run).map_or(earliest, |it| it.max(earliest)))
+            }
         }
     }
 
--- a/src/proxy/guard/announcements.rs
+++ b/src/proxy/guard/announcements.rs
@@ -71,6 +71,9 @@
         let starts_leaving = it.phase == EndpointPhase::Leaving && known.announcement.phase == EndpointPhase::Serving;
         let id = known.announcement.id.clone();
         drop(state);
+        if it.phase == EndpointPhase::Leaving {
+            self.said_leaving_changed.notify_waiters();
+        }
         if starts_leaving {
             self.mark_leaving_by_own_word(&id, "announced");
             return AnnouncementEffect::Changed;
@@ -129,6 +132,7 @@
         }
         drop(state);
         notices::set_limit_gauges(None);
+        self.said_leaving_changed.notify_waiters();
         self.row_changed.notify_one();
         self.issue_grants();
     }
@@ -151,6 +155,7 @@
         if let Some(known) = self.state.borrow_mut().endpoint.as_mut().filter(|it| it.announcement.id == *id) {
             known.said_leaving = true;
         }
+        self.said_leaving_changed.notify_waiters();
         self.mark_leaving(id, why);
     }
 
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -219,6 +219,8 @@
     pub(super) row_changed: Notify,
     /// Notified when the endpoint's standing changed.
     pub(super) standing_changed: Notify,
+    /// Notified when the endpoint has said that it is leaving, and when it is replaced.
+    pub(super) said_leaving_changed: Notify,
     /// Notified when the crash record of a request changed.
     pub(super) crash_records_changed: Notify,
 }
@@ -257,6 +259,7 @@
             run_ended: Notify::new(),
             row_changed: Notify::new(),
             standing_changed: Notify::new(),
+            said_leaving_changed: Notify::new(),
             crash_records_changed: Notify::new(),
         }
     }
--- a/src/proxy/guard/notices.rs
+++ b/src/proxy/guard/notices.rs
@@ -89,7 +89,10 @@
         let mut state = self.state.borrow_mut();
         let retired = is_retired(&state.retired, id);
         match state.endpoint.as_mut().filter(|it| it.announcement.id == *id) {
-            Some(it) if it.announcement.phase == EndpointPhase::Leaving => it.said_leaving = true,
+            Some(it) if it.announcement.phase == EndpointPhase::Leaving => {
+                it.said_leaving = true;
+                self.said_leaving_changed.notify_waiters();
+            }
             Some(_) => {
                 drop(state);
                 self.mark_leaving_by_own_word(id, why);
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -140,14 +140,24 @@
         }
     }
 
-    /// What this proxy knows about its own end.
+    /// What this proxy knows about its own end. The platform stops the VM some time after its endpoint has said that it
+    /// leaves.
     pub(super) fn ingress_stop(&self) -> IngressStop {
-        self.stop.get().map_or(IngressStop::NotExpected, |it| IngressStop::AnswersBy(it.answer_deadline()))
+        match self.stop.get() {
+            Some(it) => IngressStop::AnswersBy(it.answer_deadline()),
+            None if self.guard.endpoint_said_leaving() => {
+                IngressStop::Soon(Shutdown::answer_time(self.settings.borrow().shutdown_grace))
+            }
+            None => IngressStop::NotExpected,
+        }
     }
 
     /// Waits until [`Self::ingress_stop`] may have changed.
     pub(super) async fn wait_for_ingress_stop_change(&self) {
-        self.stop_requested.notified().await;
+        tokio::select! {
+            () = self.stop_requested.notified() => (),
+            () = self.guard.said_leaving_changed.notified() => (),
+        }
     }
 
     /// Waits until the shutdown has reached `stage` or is done.
--- a/standins/tests/hedged_requests.rs
+++ b/standins/tests/hedged_requests.rs
@@ -218,3 +218,21 @@
     assert_eq!(response.status(), 502, "it may have run");
     assert_eq!(run_count(&site, "r-1"), 1);
 }
+
+/// The second run takes longer than a stopping proxy has left.
+#[test]
+fn long_requests_are_hedged_when_the_endpoint_beside_their_ingress_says_that_it_leaves() {
+    let site = start_site(Duration::from_millis(3_000), Duration::from_secs(9));
+    let (stream, other) = send_hanging(&site, "GET /read/x", "r-1");
+    other.set_mode(EndpointMode::Good);
+
+    let announced = ingress(&site).endpoint.announce(ingress(&site).announcements, true);
+    let hedged = eventually(|| has_arrival(&other, "r-1"));
+    thread::sleep(Duration::from_millis(1_500));
+    ingress(&site).signal(Signal::TERM);
+    let response = read_response(stream);
+
+    assert_eq!(announced.ok(), Some(200));
+    assert!(hedged, "the request was not hedged before the stop");
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+}
