A hedge runs at an endpoint that has warmed up

A hedge's reservation now asks for an endpoint that isn't warming up; its guard knows. Once all guards have refused, any endpoint will do. Proxies of earlier releases ignore the new field.

Tests: a_hedge_runs_at_an_endpoint_that_has_warmed_up fails without the change (502); a cold endpoint is taken if there is no other. The stand-in endpoint announces a warm-up.

--- a/src/decide/hedge.rs
+++ b/src/decide/hedge.rs
@@ -59,7 +59,7 @@
         let overdue = overdue_at.map(|it| (it, HedgeReason::Overdue));
         let before_stop = self.hedge_before(stop).map(|it| (it, HedgeReason::IngressStops));
         let due = [overdue, before_stop].into_iter().flatten().min_by_key(|it| it.0);
-        due.filter(|it| it.0 < self.latest_hedge_start(stop))
+        due.filter(|it| it.0 < self.latest_second_start(stop))
     }
 
     /// The latest time at which a long run still ends before `stop` does; `None` if the request ends before that anyway.
@@ -78,9 +78,9 @@
         }
     }
 
-    /// The instant after which a second run should not start. Unlike a first run, it may start when the target latency
-    /// has passed: what is left to gain is an answer at all.
-    pub fn latest_hedge_start(&self, stop: IngressStop) -> Instant {
+    /// The instant after which a second run should not start, be it a hedge or in place of a run whose result is lost.
+    /// Unlike a first run, it may start when the target latency has passed: what is left to gain is an answer at all.
+    pub fn latest_second_start(&self, stop: IngressStop) -> Instant {
         let deadline = match stop {
             IngressStop::AnswersBy(by) => by.min(self.deadline),
             IngressStop::NotExpected | IngressStop::Soon(_) => self.deadline,
--- a/src/proxy/guard/reservations.rs
+++ b/src/proxy/guard/reservations.rs
@@ -97,6 +97,9 @@
         if self.quarantine.crash_record(req.fingerprint).is_quarantined() && !req.is_quarantine_trial {
             return Err(GrantRefusal::Quarantined);
         }
+        if req.needs_warm_endpoint && now < endpoint.warmup_until {
+            return Err(GrantRefusal::WarmingUp);
+        }
         self.origin_tracker.record(&req.route, req.is_certain_caller_request);
         if !endpoint.standing_tracker.admits(
             req.worst_standing,
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::{GuardRef, IngressRequest, RequestOutcome, Reservation, ReserveFailure};
+use super::{GuardRef, IngressRequest, RequestOutcome, Reservation, ReserveFailure, reserve::ReservationTerms};
 use crate::{
     decide::{
         hedge::{HedgeReason, OpenRun},
@@ -164,15 +164,19 @@
         started_at: Instant,
     ) -> (Reservation, HedgeReason) {
         let tried: Vec<EndpointId> = tried.iter().chain([&primary.grant.endpoint]).cloned().collect();
+        // Only the first try insists on an endpoint that has warmed up: there may be none.
+        let mut needs_warm_endpoint = true;
         loop {
             let reason = self.wait_for_hedge(req, started_at).await;
             if !self.may_hedge(req) {
                 return pending().await;
             }
-            let latest_start = self.open_run(req, started_at).latest_hedge_start(self.ingress_stop());
-            if let Ok(it) = self.reserve_hedge_endpoint(req, &tried, latest_start).await {
+            let latest_start = self.open_run(req, started_at).latest_second_start(self.ingress_stop());
+            let terms = ReservationTerms::of_hedge(latest_start, needs_warm_endpoint);
+            if let Ok(it) = self.reserve_on_terms(req, &tried, terms).await {
                 return (it, reason);
             }
+            needs_warm_endpoint = false;
             sleep(HEDGE_RETRY_PAUSE).await;
         }
     }
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -64,6 +64,31 @@
     ranking: CandidateRanking,
 }
 
+/// The terms of a reservation.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReservationTerms {
+    /// The latest time at which the request should start; waiting for a grant beyond it is useless.
+    start_deadline: Instant,
+    /// How often the guards are asked if all refuse.
+    max_rounds: u32,
+    /// Whether an endpoint that is warming up is of no use.
+    needs_warm_endpoint: bool,
+}
+
+impl ReservationTerms {
+    /// The terms of an attempt while no other one is running.
+    fn of_attempt(start_deadline: Instant) -> Self {
+        /// The ranking may have been stale if all guards refuse; more rounds seldom help.
+        const MAX_ROUNDS: u32 = 3;
+        Self { start_deadline, max_rounds: MAX_ROUNDS, needs_warm_endpoint: false }
+    }
+
+    /// The terms of a hedge. An endpoint that is warming up may take as long as the run that it hedges.
+    pub(super) fn of_hedge(start_deadline: Instant, needs_warm_endpoint: bool) -> Self {
+        Self { start_deadline, max_rounds: 1, needs_warm_endpoint }
+    }
+}
+
 /// Why the guards refused one reservation.
 #[derive(Debug, Default)]
 struct Refusals {
@@ -95,30 +120,18 @@
         req: &IngressRequest,
         tried: &[EndpointId],
     ) -> Result<Reservation, ReserveFailure> {
-        /// If all guards refuse, the ranking may have been stale and is repeated; more rounds seldom help.
-        const MAX_ROUNDS: u32 = 3;
-        self.reserve_within(req, tried, self.start_deadline(req), MAX_ROUNDS).await
-    }
-
-    /// Like [`Self::reserve_endpoint`] for a hedge that must start by `latest_start`; asks each guard once.
-    pub(super) async fn reserve_hedge_endpoint(
-        self: &Rc<Self>,
-        req: &IngressRequest,
-        tried: &[EndpointId],
-        latest_start: Instant,
-    ) -> Result<Reservation, ReserveFailure> {
-        self.reserve_within(req, tried, latest_start, 1).await
+        self.reserve_on_terms(req, tried, ReservationTerms::of_attempt(self.start_deadline(req))).await
     }
 
-    async fn reserve_within(
+    /// Waits for a grant on these terms for one of the service's endpoints, except those `tried` before.
+    pub(super) async fn reserve_on_terms(
         self: &Rc<Self>,
         req: &IngressRequest,
         tried: &[EndpointId],
-        start_deadline: Instant,
-        max_rounds: u32,
+        terms: ReservationTerms,
     ) -> Result<Reservation, ReserveFailure> {
         let start = clock::now();
-        let result = self.try_reserve(req, tried, start_deadline, max_rounds).await;
+        let result = self.try_reserve(req, tried, terms).await;
         req.reservation_wait.set(req.reservation_wait.get() + clock::now().saturating_duration_since(start));
         result
     }
@@ -127,9 +140,9 @@
         self: &Rc<Self>,
         req: &IngressRequest,
         tried: &[EndpointId],
-        start_deadline: Instant,
-        max_rounds: u32,
+        terms: ReservationTerms,
     ) -> Result<Reservation, ReserveFailure> {
+        let ReservationTerms { start_deadline, max_rounds, .. } = terms;
         let start = clock::now();
         let mut failure = ReserveFailure::NoCapacity;
         self.note_service_needed(&req.service);
@@ -144,7 +157,7 @@
                 return Err(ReserveFailure::NoEndpoint);
             }
             let left = start_deadline.saturating_duration_since(clock::now());
-            match timeout(left, self.reserve_first(req, &ranked, start_deadline, start)).await {
+            match timeout(left, self.reserve_first(req, &ranked, terms, start)).await {
                 Ok(Ok(it)) => return Ok(it),
                 Ok(Err(_)) if self.is_quarantined(req) => return Err(ReserveFailure::Quarantined),
                 Ok(Err(it)) if !it.any_other => return Err(it.failure()),
@@ -269,7 +282,7 @@
         self: &Rc<Self>,
         req: &IngressRequest,
         ranked: &RankedEndpoints,
-        start_deadline: Instant,
+        terms: ReservationTerms,
         start: Instant,
     ) -> Result<Reservation, Refusals> {
         let mut refusals = Refusals::default();
@@ -290,7 +303,7 @@
                     &ranked.endpoints[*at].guard,
                     *at,
                     ranked.ranking.worst_accepted,
-                    start_deadline,
+                    terms,
                 )));
             }
             let pause = if pending.len() < max_pending { NEXT_GUARD_DELAY } else { EXTRA_RESERVATION_INTERVAL };
@@ -354,7 +367,7 @@
         guard: &GuardRef,
         at: usize,
         worst_accepted: EndpointStanding,
-        start_deadline: Instant,
+        terms: ReservationTerms,
     ) -> (usize, Result<Grant, GrantRefusal>) {
         let reserve_req = ReserveRequest {
             ingress: self.name.clone(),
@@ -370,9 +383,10 @@
             is_nested_call: req.is_nested_call(),
             is_certain_caller_request: req.origin == RequestOrigin::Caller { certain: true },
             rank: req.rank,
-            start_within: start_deadline.saturating_duration_since(clock::now()),
+            start_within: terms.start_deadline.saturating_duration_since(clock::now()),
             worst_standing: worst_accepted,
             endpoint_report: self.endpoint_report(guard.name(self)).filter(|it| it.limit.is_some()),
+            needs_warm_endpoint: terms.needs_warm_endpoint,
         };
         let link = match guard {
             GuardRef::Local => {
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -119,6 +119,9 @@
     /// What the guard's endpoint said in answers that the ingress passed on.
     #[serde(default)]
     pub endpoint_report: Option<EndpointReport>,
+    /// Whether the endpoint must not be warming up.
+    #[serde(default, rename = "warm")]
+    pub needs_warm_endpoint: bool,
 }
 
 /// What an endpoint said about itself in answers that a proxy passed on. It binds that proxy, so the proxy tells the
@@ -183,6 +186,9 @@
     Quarantined,
     /// The endpoint's rate limit does not let the request start in time.
     RateLimited,
+    /// The endpoint is warming up and the request needs one that isn't. Proxies of earlier releases don't send such
+    /// requests.
+    WarmingUp,
 }
 
 /// The response to [`ReserveRequest`].
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -113,6 +113,8 @@
     open_connections: Vec<Weak<TcpStream>>,
     health_path: String,
     work_time: Duration,
+    /// Rest of the warm-up in its heartbeats.
+    warmup_left: Duration,
     instance: String,
     /// Start time of this incarnation, in Unix milliseconds.
     started_at: u64,
@@ -166,6 +168,7 @@
             open_connections: Vec::new(),
             health_path: "/health".into(),
             work_time,
+            warmup_left: Duration::ZERO,
             instance: instance.into(),
             started_at: unix_millis(),
             draining: false,
@@ -260,6 +263,11 @@
         self.lock().mode = mode;
     }
 
+    /// Sets the rest of the warm-up that its heartbeats report from now on.
+    pub fn set_warmup(&self, left: Duration) {
+        self.lock().warmup_left = left;
+    }
+
     /// Starts a new incarnation with id `instance` at the same address; open connections stay.
     pub fn replace(&self, instance: &str) {
         let mut state = self.lock();
@@ -332,7 +340,7 @@
     ) -> io::Result<u16> {
         let body = serde_json::json!({
             "service": &*self.service, "address": self.address, "zone": "dc-1", "version": "v1", "slots": self.slots,
-            "state": state, "warmup_left_s": 0, "sequence": sequence, "born": started_at,
+            "state": state, "warmup_left_s": self.lock().warmup_left.as_secs_f64(), "sequence": sequence, "born": started_at,
         });
         Self::send_heartbeat(proxy, instance, body.to_string().as_bytes())
     }
--- a/standins/tests/hedged_requests.rs
+++ b/standins/tests/hedged_requests.rs
@@ -236,3 +236,49 @@
     assert!(hedged, "the request was not hedged before the stop");
     assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
 }
+
+/// Replaces an endpoint by an incarnation that warms up for a minute, and waits until the ingress lists it.
+fn replace_by_cold_endpoint(site: &Site, endpoint: &Endpoint) {
+    endpoint.set_warmup(Duration::from_secs(60));
+    endpoint.replace("i-cold");
+    let lists_it = |it: &Value| it["endpoint"]["id"]["name"] == "i-cold";
+    let is_listed = || ingress(site).status()["peers"].as_array().is_some_and(|it| it.iter().any(lists_it));
+    assert!(eventually(is_listed), "the ingress does not list the new endpoint");
+}
+
+/// The warm endpoint has no free slot when the hedge is due, the cold one is idle.
+#[test]
+fn a_hedge_runs_at_an_endpoint_that_has_warmed_up() {
+    let site = start_larger_site(3, Duration::from_millis(500), Duration::from_secs(2));
+    let (stream, cold) = send_hanging(&site, "GET /read/x", "r-1");
+    replace_by_cold_endpoint(&site, &cold);
+    let endpoints = desk_endpoints(&site);
+    let warm = endpoints.iter().find(|it| !has_arrival(it, "r-1") && it.address != cold.address);
+    let warm = warm.expect("one endpoint is warm and idle");
+    warm.set_mode(EndpointMode::Good);
+    cold.set_mode(EndpointMode::Sheds);
+    let blocking = send(&site, "POST /write/x", "r-blocking");
+    assert!(eventually(|| has_arrival(warm, "r-blocking")));
+    cold.set_mode(EndpointMode::Hangs);
+
+    ingress(&site).signal(Signal::TERM);
+    let response = read_response(stream);
+
+    assert_eq!(read_response(blocking).status(), 200);
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+    assert!(!has_arrival(&cold, "r-1"));
+}
+
+#[test]
+fn a_hedge_runs_at_a_cold_endpoint_if_there_is_no_other() {
+    let site = start_site(Duration::from_millis(500), Duration::from_secs(2));
+    let (stream, cold) = send_hanging(&site, "GET /read/x", "r-1");
+    replace_by_cold_endpoint(&site, &cold);
+    cold.set_mode(EndpointMode::Good);
+
+    ingress(&site).signal(Signal::TERM);
+    let response = read_response(stream);
+
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+    assert!(has_arrival(&cold, "r-1"));
+}
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -67,7 +67,7 @@
 ) {
     let start = Instant::now();
 
-    let latest = open_run(start, Some(2_000)).latest_hedge_start(stop(start));
+    let latest = open_run(start, Some(2_000)).latest_second_start(stop(start));
 
     assert_eq!(latest, start + ms(expected_ms));
 }
