A long request whose run is lost runs again though its target latency has passed

Requests that fail with an answer keep the old limit.

Test: a_long_request_at_a_killed_guard_runs_at_another_endpoint: 502 on, 200 with the change.

--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -171,8 +171,7 @@
             if !self.may_hedge(req) {
                 return pending().await;
             }
-            let latest_start = self.open_run(req, started_at).latest_second_start(self.ingress_stop());
-            let terms = ReservationTerms::of_hedge(latest_start, needs_warm_endpoint);
+            let terms = ReservationTerms::of_hedge(self.start_deadline(req), needs_warm_endpoint);
             if let Ok(it) = self.reserve_on_terms(req, &tried, terms).await {
                 return (it, reason);
             }
@@ -197,7 +196,7 @@
         }
     }
 
-    fn open_run(&self, req: &IngressRequest, started_at: Instant) -> OpenRun {
+    pub(super) fn open_run(&self, req: &IngressRequest, started_at: Instant) -> OpenRun {
         OpenRun {
             started_at,
             mean: self.ingress.borrow().service_times.mean(&req.route().name),
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -169,8 +169,11 @@
     }
 
     /// The latest time at which the request should start; waiting for a grant beyond it is useless.
-    fn start_deadline(&self, req: &IngressRequest) -> Instant {
+    pub(super) fn start_deadline(&self, req: &IngressRequest) -> Instant {
         let route = req.route();
+        if req.open_attempts.get() > 0 {
+            return self.open_run(req, req.arrived).latest_second_start(self.ingress_stop());
+        }
         let timing = WorkTiming {
             arrived: req.arrived,
             target_latency: route.target_latency,
--- a/standins/tests/hedged_requests.rs
+++ b/standins/tests/hedged_requests.rs
@@ -237,6 +237,25 @@
     assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
 }
 
+/// The result of the run is lost with the guard when the target latency has passed, and the only other endpoint has no
+/// free slot then.
+#[test]
+fn a_long_request_at_a_killed_guard_runs_at_another_endpoint() {
+    let mut site = start_site(Duration::from_millis(500), Duration::from_millis(600));
+    let (stream, other) = send_hanging(&site, "GET /read/x", "r-1");
+    other.set_mode(EndpointMode::Good);
+    thread::sleep(Duration::from_millis(1_000));
+    let blocking = send(&site, "POST /write/x", "r-blocking");
+    assert!(eventually(|| has_arrival(&other, "r-blocking")));
+
+    let guard = site.proxies.iter_mut().find(|it| has_arrival(&it.endpoint, "r-1")).expect("an endpoint runs it");
+    guard.kill();
+    let response = read_response(stream);
+
+    assert_eq!(read_response(blocking).status(), 200);
+    assert_eq!(response.status(), 200, "{}", explained_cause(&site, "r-1"));
+}
+
 /// Replaces an endpoint by an incarnation that warms up for a minute, and waits until the ingress lists it.
 fn replace_by_cold_endpoint(site: &Site, endpoint: &Endpoint) {
     endpoint.set_warmup(Duration::from_secs(60));
