Test: a stopping daemon has a long request run at another endpoint

The same cause was looked for at the daemons of the program's own interface. It isn't there: a first attempt gets six tenths of the caller's time, so a second one has the rest, and a stopping daemon waits for open requests longer (125 s) than the longest lateness that targets may name (120 s).

--- a/standins/tests/end_to_end.rs
+++ b/standins/tests/end_to_end.rs
@@ -14,8 +14,10 @@
 };
 
 use rstest::rstest;
+use rustix::process::Signal;
 use standins::{
     deployment::{prairie, repository_file},
+    endpoint::EndpointFault,
     fleet::{EndpointProfile, Fleet, TOKEN, fetch_status},
     history,
     load::{self, Load},
@@ -245,3 +247,40 @@
     assert_eq!(report.unknown_but_ran, 0, "{report}");
     fleet.close();
 }
+
+/// The first attempt gets six tenths of the caller's time; a stopping daemon waits for longer than any class may take.
+#[test]
+fn a_stopping_daemon_has_a_long_request_run_at_another_endpoint() {
+    let mut fleet = Fleet::start().expect("a store");
+    for _ in 0..3 {
+        fleet.add_daemon("dc-1").expect("a daemon");
+    }
+    for daemon in [1, 2] {
+        fleet.add_endpoint("portal", daemon, ENDPOINT_PROFILE).expect("an endpoint");
+    }
+    fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+    fleet.wait_for_endpoints(2).expect("all endpoints are eligible");
+    let set_hangs = |endpoint: usize, hangs: f64| {
+        let fault = EndpointFault { hangs, ..EndpointFault::default() };
+        fleet.set_fault(fleet.endpoints[endpoint].address, &fault).expect("the endpoint takes the fault");
+    };
+    let runs_at = |endpoint: usize| fs::read_to_string(&fleet.endpoints[endpoint].log).unwrap_or_default();
+    set_hangs(0, 1.0);
+    set_hangs(1, 1.0);
+    let address = fleet.callers()[0];
+
+    let status = thread::scope(|scope| {
+        let caller = scope.spawn(|| call(address, "/portal/x", None, TOKEN, "long").status().as_u16());
+        let arrived = (0..500).find_map(|_| {
+            thread::sleep(Duration::from_millis(10));
+            (0..2).find(|it| !runs_at(*it).is_empty())
+        });
+        set_hangs(1 - arrived.expect("the request runs at an endpoint"), 0.0);
+        fleet.daemons[0].process.signal(Signal::TERM);
+        caller.join().expect("the caller does not panic")
+    });
+
+    assert_eq!(status, 200);
+    assert_eq!(fleet.read_run_logs().expect("the run logs").len(), 2);
+    fleet.close();
+}
