--- a/src/decide/hedge.rs
+++ b/src/decide/hedge.rs
@@ -62,7 +62,8 @@
         due.filter(|it| it.0 < self.latest_second_start(stop))
     }
 
-    /// The latest time at which a long run still ends before `stop` does; `None` if the request ends before that anyway.
+    /// When a second run must start to end before the ingress does, unless the first run is still short then; `None` if
+    /// that need not be ensured yet, or not at all.
     fn hedge_before(&self, stop: IngressStop) -> Option<Instant> {
         let long_run = self.expected_time() * LONG_RUN_FACTOR + RESERVATION_TIME;
         match stop {
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -187,8 +187,8 @@
     Unknown(UnknownReason),
     /// The attempt is still running, but took so long that the request was also sent to another endpoint.
     Overdue,
-    /// The attempt is still running, but this proxy stops or its endpoint leaves, so the request was also sent to another
-    /// endpoint.
+    /// The attempt is still running, but this proxy stops or its endpoint leaves, so the request was also sent to
+    /// another endpoint.
     IngressStops,
 }
 
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -125,9 +125,9 @@
         req.attempts.get() < req.route().max_attempts && clock::now() < req.answer_deadline
     }
 
-    /// Runs the request under a reservation. An idempotent request that is overdue, or whose ingress stops, is hedged: it
-    /// also runs at a second endpoint if one can be reserved, and the first successful answer counts. Returns the reservation whose run ended
-    /// the attempt.
+    /// Runs the request under a reservation. An idempotent request that is overdue, or whose ingress stops, is hedged:
+    /// it also runs at a second endpoint if one can be reserved, and the first successful answer counts. Returns the
+    /// reservation whose run ended the attempt.
     async fn run_attempt(
         self: &Rc<Self>,
         req: &IngressRequest,
@@ -154,8 +154,8 @@
         (reservation, end, clock::now().saturating_duration_since(start))
     }
 
-    /// Waits until the run that started at `started_at` under `primary` should be hedged, and reserves another endpoint.
-    /// Doesn't return if the request must not be hedged.
+    /// Waits until the run that started at `started_at` under `primary` should be hedged, and reserves another
+    /// endpoint. Doesn't return if the request must not be hedged.
     async fn reserve_hedge(
         self: &Rc<Self>,
         req: &IngressRequest,
@@ -163,6 +163,9 @@
         tried: &[EndpointId],
         started_at: Instant,
     ) -> (Reservation, HedgeReason) {
+        if !req.is_idempotent() {
+            return pending().await;
+        }
         let tried: Vec<EndpointId> = tried.iter().chain([&primary.grant.endpoint]).cloned().collect();
         // Only the first try insists on an endpoint that has warmed up: there may be none.
         let mut needs_warm_endpoint = true;
@@ -196,6 +199,7 @@
         }
     }
 
+    /// The run of the request that started at `started_at`.
     pub(super) fn open_run(&self, req: &IngressRequest, started_at: Instant) -> OpenRun {
         OpenRun {
             started_at,
@@ -205,12 +209,10 @@
         }
     }
 
-    /// Whether the request may run at one more endpoint while it is running. A request that may have crashed an endpoint
-    /// runs at one endpoint at a time.
+    /// Whether the idempotent request may run at one more endpoint while it is running. A request that may have crashed
+    /// an endpoint runs at one endpoint at a time.
     fn may_hedge(&self, req: &IngressRequest) -> bool {
-        req.is_idempotent()
-            && req.attempts.get() < req.route().max_attempts
-            && !self.guard.crash_record(req.fingerprint).is_suspect()
+        req.attempts.get() < req.route().max_attempts && !self.guard.crash_record(req.fingerprint).is_suspect()
     }
 
     /// Runs the request under a reservation and counts the attempt.
--- a/standins/tests/hedged_requests.rs
+++ b/standins/tests/hedged_requests.rs
@@ -132,8 +132,8 @@
     assert_eq!(run_count(&site, "r-1"), 1);
 }
 
-/// Sends a request that hangs at the endpoint that it reaches first, and stops its ingress. Returns the response and the
-/// time that it took from the SIGTERM on.
+/// Sends a request that hangs at the endpoint that it reaches first, and stops its ingress. Returns the response and
+/// the time that it took from the SIGTERM on.
 fn stop_while_hanging(site: &Site, method_and_target: &str, request_id: &str) -> (Message, Duration) {
     let (stream, other) = send_hanging(site, method_and_target, request_id);
     other.set_mode(EndpointMode::Good);
