Review: an entry of another writer in the store ends every proxy that starts

Looked for data from outside that the code takes for its own. The store's listing puts the name of the last entry of a page into the next call's path unescaped, and a path that is no URI ends the process by a panic.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -23,6 +23,9 @@
 }
 HEARTBEAT_S = 1.5
 MEMORY_MB = 260
+# Of the store: the size of a page, and of an object at most.
+PAGE_OBJECTS, PAGE_BYTES = 500, 1_000_000
+VALUE_BYTES = 1_048_576
 
 
 class Record:
@@ -129,13 +132,12 @@
 
     async def respond(self, method, target, body):
         path, _, query = target.partition("?")
-        query = dict(urllib.parse.parse_qsl(query))
+        query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         kind, _, name = path.removeprefix("/objects/").partition("/")
         if method == "GET" and "watch" in query:
             return await self.watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)) / 1000)
         if method == "GET" and not name:
-            items = [it for key, it in sorted(self.objects.items()) if key[0] == kind]
-            return 200, {"items": items, "has_more": False, "at_rev": self.revision}
+            return 200, self.list(kind, query.get("after", ""))
         if method == "POST":
             given = json.loads(body)
             name = given["metadata"]["name"]
@@ -163,6 +165,17 @@
             return 200, self.objects[kind, name]
         return 405, {}
 
+    def list(self, kind, after):
+        """One page: at most 500 objects, and 1 MB unless a single object is larger."""
+        found = [it for key, it in sorted(self.objects.items()) if key[0] == kind and key[1] > after]
+        page, size = [], 0
+        for it in found[:PAGE_OBJECTS]:
+            size += len(json.dumps(it))
+            if page and size > PAGE_BYTES:
+                break
+            page.append(it)
+        return {"items": page, "has_more": len(page) < len(found), "at_rev": self.revision}
+
     async def watch(self, kind, since, wait_s):
         def events():
             changed = [it for key, it in self.objects.items() if key[0] == kind and it["metadata"]["revision"] > since]
