--- a/review/2/play.py
+++ b/review/2/play.py
@@ -8,7 +8,9 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-from deployment import MEMORY_MB, Deployment, Record, config, read_message, request_head, route
+from deployment import (
+    BROKEN, HELD, MEMORY_MB, NOT_RUN, Deployment, Record, config, main, read_message, request_head, route,
+)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # max_body_bytes is 67,108,864.
@@ -95,7 +97,9 @@
             tasks += [asyncio.create_task(upload(it)) for it in range(UPLOADS)]
         await asyncio.sleep(6)
         stopping.set()
-        await asyncio.wait(tasks, timeout=TIME_BUDGET_S)
+        done, _ = await asyncio.wait(tasks, timeout=TIME_BUDGET_S)
+        for it in done:
+            it.result()
         record("memory at most: " + ", ".join(f"sidecar-{it} {mb:.0f} MB" for it, mb in peaks.items()))
     finally:
         await deployment.stop()
@@ -107,17 +111,8 @@
            f"{len(lost)} requests lost (3 are allowed): {' '.join(lost)}")
     if complete < 20:
         record("too few answers: the case couldn't run")
-        return 2
-    return 1 if len(lost) > 3 else 0
+        return NOT_RUN
+    return BROKEN if len(lost) > 3 else HELD
 
 
-async def main():
-    record = Record(os.path.join(HERE, "record.txt"))
-    try:
-        return await asyncio.wait_for(play(record), 100)
-    except Exception as error:
-        record(f"the case couldn't run: {error!r}")
-        return 2
-
-
-sys.exit(asyncio.run(main()))
+main(HERE, play)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -9,7 +9,9 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-from deployment import BOUNDS, MEMORY_MB, Deployment, Record, config, read_head, request_head, route
+from deployment import (
+    BOUNDS, BROKEN, HELD, MEMORY_MB, NOT_RUN, Deployment, Record, config, main, read_head, request_head, route,
+)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BODY_BYTES = 10_000_000
@@ -116,7 +118,9 @@
             except TimeoutError:
                 proxy.signal(signal.SIGKILL)
                 record("platform sends SIGKILL to sidecar-1")
-        await asyncio.wait(tasks, timeout=TIME_BUDGET_S)
+        done, _ = await asyncio.wait(tasks, timeout=TIME_BUDGET_S)
+        for it in done:
+            it.result()
     finally:
         await deployment.stop()
     runs = {}
@@ -134,17 +138,8 @@
     record(f"{len(results)} requests, {complete} complete, {len(lost)} lost around the SIGTERM: {' '.join(lost)}")
     if complete < 5:
         record("too few complete answers: the case couldn't run")
-        return 2
-    return 1 if lost else 0
+        return NOT_RUN
+    return BROKEN if lost else HELD
 
 
-async def main():
-    record = Record(os.path.join(HERE, "record.txt"))
-    try:
-        return await asyncio.wait_for(play(record), 100)
-    except Exception as error:
-        record(f"the case couldn't run: {error!r}")
-        return 2
-
-
-sys.exit(asyncio.run(main()))
+main(HERE, play)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -285,8 +285,11 @@
             f.write(render(template, fields))
         env = {it: os.environ[it] for it in ("PATH", "HOME", "LANG") if it in os.environ}
         log = open(os.path.join(self.deployment.dir, f"proxy-{self.number}.log"), "ab")
+        if self.deployment.closing:
+            raise RuntimeError("the deployment is closing")
         self.process = await asyncio.create_subprocess_exec(
             *role["run"].split(" "), cwd=ROOT, env=env | {"JAYREACH_SETTINGS": settings}, stdout=log, stderr=log)
+        self.deployment.processes.append(self.process)
         log.close()
 
     def signal(self, which):
@@ -320,6 +323,9 @@
         self.dir = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
         self.proxies, self.tasks = [], []
+        # All processes that were ever started.
+        self.processes = []
+        self.closing = False
 
     async def start(self, backends, config):
         """`backends` are (service, slots, handle); each gets a machine with a proxy."""
@@ -344,18 +350,50 @@
         self.record("all proxies are ready and in touch")
 
     async def stop(self):
+        """Ends all processes; none starts from now on."""
+        self.closing = True
         for it in self.tasks:
             it.cancel()
-        for it in self.proxies:
-            it.signal(signal.SIGKILL)
-            if it.process is not None:
-                await it.process.wait()
+        # A start that was under way may add a process meanwhile.
+        for pause in (0.1, 0):
+            for it in self.processes:
+                if it.returncode is None:
+                    it.kill()
+                await it.wait()
+            await asyncio.sleep(pause)
         if os.environ.get("KEEP"):
             print(self.dir)
         else:
             shutil.rmtree(self.dir, ignore_errors=True)
 
 
+# Exit codes of the scripts.
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+TIME_LIMIT_S = 100
+
+
+def main(folder, play):
+    """Runs `play(record)`, which returns an exit code, and exits with it; a signal or an error ends it as not run."""
+
+    async def run():
+        record = Record(os.path.join(folder, "record.txt"))
+        playing = asyncio.create_task(play(record))
+        for it in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(it, playing.cancel)
+        try:
+            return await asyncio.wait_for(playing, TIME_LIMIT_S)
+        except (Exception, asyncio.CancelledError) as error:
+            record(f"the case couldn't run: {error!r}")
+            return NOT_RUN
+
+    try:
+        code = asyncio.run(run())
+    except BaseException as error:
+        print(f"the case couldn't run: {error!r}", flush=True)
+        code = NOT_RUN
+    os._exit(code)
+
+
 def route(prefix, service, kind, timeout_s, attempts=2, priority=1, target_s=2):
     return {"host": HOST, "path_prefix": prefix, "kind": kind, "timeout_s": timeout_s, "target_latency_s": target_s,
             "priority": priority, "service": service, "max_attempts": attempts}
