--- a/src/decide/fingerprint.rs
+++ b/src/decide/fingerprint.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 
-use crate::util::stable_hash;
+use crate::util::stable_hash_segmented;
 
 /// A stable hash of a request's method, host, target, credentials and body. It is the same on every VM and independent
 /// of request id and deadline.
@@ -24,7 +24,19 @@
 
     /// Hashes the parts of a request; `credentials` may be empty.
     pub fn of_request(method: &str, host: &str, target: &str, credentials: &[u8], body: &[u8]) -> Self {
-        Self(stable_hash(&[method.as_bytes(), host.as_bytes(), target.as_bytes(), credentials, body]))
+        Self::of_segments(method, host, target, credentials, &[body])
+    }
+
+    /// Hashes the parts of a request whose body is the sequence of `segments`.
+    pub fn of_segments(
+        method: &str,
+        host: &str,
+        target: &str,
+        credentials: &[u8],
+        segments: &[impl AsRef<[u8]>],
+    ) -> Self {
+        let head = [method.as_bytes(), host.as_bytes(), target.as_bytes(), credentials];
+        Self(stable_hash_segmented(&head, segments))
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint_health;
 mod path_health;
 
+pub mod body_pool;
 pub mod fingerprint;
 pub mod guard_retry_budget;
 pub mod hedge;
--- a/src/document.rs
+++ b/src/document.rs
@@ -128,6 +128,11 @@
     /// Reads a required number in `range`, with or without a fraction.
     pub fn required_decimal(&mut self, key: &'static str, range: Range<f64>) -> Option<f64> {
         self.require(key);
+        self.decimal(key, range)
+    }
+
+    /// Reads an optional number in `range`, with or without a fraction.
+    pub fn decimal(&mut self, key: &'static str, range: Range<f64>) -> Option<f64> {
         let value = self.read_value(key)?;
         let text = match value.get_ref() {
             DeValue::Integer(it) => it.as_str(),
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -86,6 +86,7 @@
         spawn_local(Rc::clone(self).discover_endpoint());
         spawn_local(Rc::clone(self).check_low_limit());
         spawn_local(Rc::clone(self).log_slot_times());
+        spawn_local(Rc::clone(&self.guard).free_answers());
     }
 
     /// Logs the use of the endpoint's slot time periodically.
@@ -113,6 +114,7 @@
                 let (running, waiting) = self.guard.load();
                 metrics::gauge!("jayreach_running").set(f64::from(running));
                 metrics::gauge!("jayreach_waiting").set(f64::from(waiting));
+                self.body_memory.report();
                 if let Some(it) = self.confirmed_ago() {
                     metrics::gauge!("jayreach_config_confirmed_seconds_ago").set(it.as_secs_f64());
                 }
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::{
     Method, Request, Response,
     body::{Bytes, Incoming},
@@ -13,9 +13,12 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::proxy::net::{self, AbortOnDropTask};
+use crate::proxy::{
+    body::OutBody,
+    net::{self, AbortOnDropTask},
+};
 
-/// Maximum size of a response body, in bytes. A body is buffered in full before it is passed on.
+/// Maximum size of a response body, in bytes.
 pub(super) const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Timeout for opening a connection; it leaves room for one retransmitted SYN, which takes a second.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -40,7 +43,7 @@
 /// An open connection. Dropping it aborts the task that drives it.
 #[derive(Debug)]
 pub(super) struct Connection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) sender: SendRequest<OutBody>,
     _task: AbortOnDropTask,
 }
 
@@ -64,11 +67,6 @@
     Limited::new(body, limit).collect().await.map(|it| it.to_bytes()).map_err(CallError::Body)
 }
 
-/// Whether `error` says that a body exceeded its size limit.
-pub(super) fn is_body_too_long(error: &CallError) -> bool {
-    matches!(error, CallError::Body(it) if it.is::<LengthLimitError>())
-}
-
 /// Makes one call on a new connection, so that a stalled connection affects no other call.
 ///
 /// `limit` bounds the whole call, from connecting to the end of the response body.
@@ -81,7 +79,7 @@
 ) -> Result<Response<Bytes>, CallError> {
     let exchange = async {
         let mut connection = Connection::open(address).await?;
-        let mut req = Request::new(Full::new(body));
+        let mut req = Request::new(OutBody::from(body));
         *req.method_mut() = method;
         *req.uri_mut() = path.parse().expect("paths of this process's own calls are valid");
         let host = address.to_string().parse().expect("a socket address is a valid header value");
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -2,12 +2,12 @@
 
 use std::{
     cell::RefCell,
-    io,
+    io, mem,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
-use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -19,6 +19,8 @@
     decide::rate_limit::LimitStatement,
     platform,
     proxy::{
+        body::{self, OutBody},
+        body_memory::BodyRoom,
         client::{self, CallError, Connection},
         headers,
         message::{HttpContent, NotRunReason, RunEnd, UnknownReason},
@@ -59,7 +61,7 @@
     pub(super) request_id: Box<str>,
     pub(super) instance_id: Box<str>,
     pub(super) head: Request<()>,
-    pub(super) body: Bytes,
+    pub(super) body: OutBody,
     pub(super) time_left: Duration,
 }
 
@@ -101,12 +103,25 @@
         Self { address, idle: RefCell::default(), last_probe: Mutex::default() }
     }
 
-    /// Sends a request and classifies the response. Calls `on_notice` as soon as the headers of the response are there,
-    /// since its body may break off. Dropping the future closes the connection, by which the endpoint notices that the
-    /// request is cancelled.
-    pub(super) async fn run(&self, req: EndpointRequest, on_notice: impl Fn(EndpointNotice)) -> RunEnd {
+    /// Sends a request and classifies the response, whose body is held in `room`. Calls `on_notice` as soon as the headers
+    /// of the response are there, since its body may break off. Dropping the future closes the connection, by which the
+    /// endpoint notices that the request is cancelled.
+    pub(super) async fn run(
+        &self,
+        req: EndpointRequest,
+        room: &BodyRoom,
+        on_notice: impl Fn(EndpointNotice),
+    ) -> RunEnd {
         let limit = req.time_left + RESPONSE_GRACE;
-        match timeout(limit, self.exchange(req, on_notice)).await {
+        let upload_broke_off = match &req.body {
+            OutBody::Upload(it) => it.broke_off(),
+            OutBody::Held { .. } | OutBody::Parts { .. } => Rc::default(),
+        };
+        match timeout(limit, self.exchange(req, room, on_notice)).await {
+            // The ingress ended the request, which says nothing about the endpoint.
+            Ok(RunEnd::Unknown(UnknownReason::Broken)) if upload_broke_off.get() => {
+                RunEnd::Unknown(UnknownReason::GuardStateLost)
+            }
             Ok(RunEnd::Unknown(UnknownReason::Broken)) if self.has_ended().await => {
                 RunEnd::Unknown(UnknownReason::Ended)
             }
@@ -140,9 +155,10 @@
         ended
     }
 
-    async fn exchange(&self, req: EndpointRequest, on_notice: impl Fn(EndpointNotice)) -> RunEnd {
+    async fn exchange(&self, mut req: EndpointRequest, room: &BodyRoom, on_notice: impl Fn(EndpointNotice)) -> RunEnd {
         let start = Instant::now();
-        let mut hyper_req = self.hyper_request(&req);
+        let body = mem::replace(&mut req.body, Bytes::new().into());
+        let mut hyper_req = self.hyper_request(&req, body);
         loop {
             let idle = self.take_idle();
             let reused = idle.is_some();
@@ -168,7 +184,7 @@
                     if let Some(it) = EndpointNotice::from_answer(resp.status(), resp.headers(), &req.request_id) {
                         on_notice(it);
                     }
-                    return self.classify_response(&req, connection, resp, start).await;
+                    return self.classify_response(&req, room, connection, resp, start).await;
                 }
                 Err(mut error) => match error.take_message() {
                     // Nothing was sent yet, so the request can be sent on another connection.
@@ -183,8 +199,8 @@
         }
     }
 
-    fn hyper_request(&self, req: &EndpointRequest) -> Request<Full<Bytes>> {
-        let mut out = Request::new(Full::new(req.body.clone()));
+    fn hyper_request(&self, req: &EndpointRequest, body: OutBody) -> Request<OutBody> {
+        let mut out = Request::new(body);
         *out.method_mut() = req.head.method().clone();
         *out.uri_mut() = req.head.uri().clone();
         *out.headers_mut() = req.head.headers().clone();
@@ -201,12 +217,14 @@
     async fn classify_response(
         &self,
         req: &EndpointRequest,
+        room: &BodyRoom,
         connection: Connection,
         resp: Response<Incoming>,
         start: Instant,
     ) -> RunEnd {
-        let (head, body) = resp.into_parts();
-        let body = match client::collect_body(body, client::MAX_RESPONSE_BYTES).await {
+        let (head, mut body) = resp.into_parts();
+        // The deadline of the request bounds the wait for memory.
+        let body = match body::read(&mut body, client::MAX_RESPONSE_BYTES, room, Duration::MAX).await {
             Ok(it) => it,
             Err(error) => {
                 log::debug!("request {}: {error}", req.request_id);
@@ -230,7 +248,7 @@
             return RunEnd::Unknown(UnknownReason::MalformedAnswer);
         }
         self.put_idle(connection, &head.headers);
-        let content = HttpContent::new(&headers::end_to_end(&head.headers), &body);
+        let content = HttpContent::new(&headers::end_to_end(&head.headers), body);
         RunEnd::Answered { status: head.status.as_u16(), content, took: start.elapsed() }
     }
 
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -8,6 +8,7 @@
 use crate::{
     decide::{fingerprint::Fingerprint, incarnation::EndpointId, quarantine::CrashRecord},
     proxy::{
+        body_memory::SMALL_BODY,
         directory::Incarnation,
         message::{Grant, GrantId, NotRunReason, RunEnd},
         routes::RouteName,
@@ -17,9 +18,10 @@
 /// How long the end of a grant is remembered for an ingress that lost its connection.
 const ENDED_TTL: Duration = Duration::from_secs(20);
 /// The maximum number of remembered ends; well above the number of runs within `ENDED_TTL`.
-const MAX_ENDED: usize = 512;
-/// The maximum total size of remembered answer bodies, in bytes.
-const MAX_ENDED_BYTES: usize = 16 << 20;
+const MAX_ENDED: usize = 2048;
+/// An answer is kept for at least this long after its ingress last asked for it, even if its memory is needed: the
+/// ingress detects a lost connection and opens another one within it.
+const ANSWER_MIN_TTL: Duration = Duration::from_secs(5);
 
 /// The request that a grant is for.
 #[derive(Debug, Clone, PartialEq)]
@@ -86,14 +88,13 @@
     id: GrantId,
     end: RunEnd,
     ended_at: Instant,
+    /// When its ingress last asked for it; at first, when it ended.
+    needed_at: Instant,
 }
 
 impl EndedGrant {
-    fn body_len(&self) -> usize {
-        match &self.end {
-            RunEnd::Answered { content, .. } => content.body.len(),
-            RunEnd::NotRun(_) | RunEnd::Unknown(_) => 0,
-        }
+    fn is_partial(&self) -> bool {
+        self.end.body_len() > SMALL_BODY
     }
 }
 
@@ -210,21 +211,53 @@
         Some(entry)
     }
 
-    /// Ends a grant. The end is remembered unless the request is idempotent; a revoked grant is always remembered.
+    /// Ends a grant. The end is remembered unless the request is idempotent; a revoked grant and an answer that is sent in
+    /// parts are always remembered.
     pub fn end(&mut self, id: GrantId, end: RunEnd, now: Instant) -> Option<GrantEntry> {
         let at = self.entries.iter().position(|it| it.id == id)?;
         let entry = self.entries.swap_remove(at);
-        if !entry.work.idempotent || end == RunEnd::NotRun(NotRunReason::NoGrant) {
-            self.ended.push(EndedGrant { id, end, ended_at: now });
-        }
-        self.ended.retain(|it| now.saturating_duration_since(it.ended_at) < ENDED_TTL);
-        let mut bytes: usize = self.ended.iter().map(EndedGrant::body_len).sum();
-        while self.ended.len() > MAX_ENDED || bytes > MAX_ENDED_BYTES {
-            bytes -= self.ended.remove(0).body_len();
+        let ended = EndedGrant { id, end, ended_at: now, needed_at: now };
+        if !entry.work.idempotent || ended.end == RunEnd::NotRun(NotRunReason::NoGrant) || ended.is_partial() {
+            self.ended.push(ended);
         }
+        self.forget_old(now);
         Some(entry)
     }
 
+    /// Forgets the ends that no ingress asks for any more.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.ended.retain(|it| now.saturating_duration_since(it.needed_at.max(it.ended_at)) < ENDED_TTL);
+        let excess = self.ended.len().saturating_sub(MAX_ENDED);
+        self.ended.drain(..excess);
+    }
+
+    /// Forgets the answers that their ingresses have probably received, because memory is needed.
+    pub fn free_memory(&mut self, now: Instant) {
+        self.ended.retain(|it| it.end.body_len() == 0 || now.saturating_duration_since(it.needed_at) < ANSWER_MIN_TTL);
+    }
+
+    /// Forgets the end of a grant.
+    pub fn forget(&mut self, grant: &Grant) {
+        if grant.guard == self.incarnation {
+            self.ended.retain(|it| it.id != grant.id);
+        }
+    }
+
+    /// Records that the ingress of a grant still needs its answer.
+    pub fn note_needed(&mut self, grant: &Grant, now: Instant) {
+        if grant.guard == self.incarnation
+            && let Some(it) = self.ended.iter_mut().find(|it| it.id == grant.id)
+        {
+            it.needed_at = now;
+        }
+    }
+
+    /// The number of answers of which an ingress still fetches parts.
+    pub fn partial_answers(&self, now: Instant) -> usize {
+        let is_needed = |it: &&EndedGrant| now.saturating_duration_since(it.needed_at) < ANSWER_MIN_TTL;
+        self.ended.iter().filter(|it| it.is_partial()).filter(is_needed).count()
+    }
+
     /// The status of `grant`.
     pub fn status(&self, grant: &Grant) -> GrantStatus {
         if grant.guard != self.incarnation {
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -34,6 +34,7 @@
         wait_queue::{WaitQueue, WaiterId},
     },
     proxy::{
+        body_memory::BodyMemory,
         clock,
         directory::{EndpointRow, Incarnation},
         endpoint::EndpointPool,
@@ -212,6 +213,7 @@
 pub struct Guard {
     announce_interval: Duration,
     events: Rc<EventLog>,
+    body_memory: Rc<BodyMemory>,
     state: RefCell<GuardState>,
     /// Notified when a grant ended.
     run_ended: Notify,
@@ -227,15 +229,17 @@
 
 impl Guard {
     /// Creates a guard without an endpoint. Endpoints announce themselves every `announce_interval`.
-    pub fn new(
+    pub(super) fn new(
         incarnation: Incarnation,
         announce_interval: Duration,
         retry_budget: RetryBudgetConfig,
         events: Rc<EventLog>,
+        body_memory: Rc<BodyMemory>,
     ) -> Self {
         Self {
             announce_interval,
             events,
+            body_memory,
             state: RefCell::new(GuardState {
                 endpoint: None,
                 retired: Vec::new(),
@@ -298,9 +302,10 @@
         self.state.borrow().retry_budget.is_exhausted()
     }
 
-    /// The number of grants that are unused or in use.
-    pub fn open_grants(&self) -> usize {
-        self.state.borrow().ledger.len()
+    /// The number of grants that are unused or in use, and of answers that other proxies still fetch.
+    pub fn open_work(&self) -> usize {
+        let state = self.state.borrow();
+        state.ledger.len() + state.ledger.partial_answers(clock::now())
     }
 
     /// The slot time by use since the start of this process, in milliseconds.
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -5,7 +5,11 @@
     time::{Duration, Instant},
 };
 
-use tokio::{task::spawn_local, time::timeout};
+use tokio::{
+    sync::oneshot,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use super::{
     Guard, GuardState,
@@ -18,15 +22,20 @@
         suspicion::{self, AnswerSample},
     },
     proxy::{
+        body::{OutBody, Upload},
         clock,
         endpoint::{EndpointPool, EndpointRequest},
         events::Event,
-        message::{Grant, GrantId, NotRunReason, RunEnd, RunRequest, UnknownReason},
+        message::{AnswerNeed, Grant, GrantId, NotRunReason, RunEnd, RunQuery, RunRequest, UnknownReason},
     },
 };
 
-/// How long a [`RunQuery`](crate::proxy::message::RunQuery) waits for a run to end.
+/// How long a [`RunQuery`] waits for a run to end.
 const RUN_QUERY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often old answers are forgotten while nothing else needs their memory.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+/// The pause between two attempts to free memory for answers.
+const FREE_PAUSE: Duration = Duration::from_millis(100);
 /// A run is overdue after this many times its mean service time plus `OVERDUE_MARGIN`.
 const OVERDUE_FACTOR: u32 = 3;
 /// Added because short runs vary more.
@@ -53,21 +62,33 @@
 }
 
 impl Guard {
-    /// Uses a grant: sends its request to the endpoint, at most once.
+    /// Uses a grant: sends its request to the endpoint, at most once. `upload` is the body if it isn't in `run`.
     ///
     /// Dropping the future cancels an idempotent request. Any other request keeps running, and its end is remembered.
-    pub async fn run(self: &Rc<Self>, run: RunRequest) -> RunEnd {
+    pub(in crate::proxy) async fn run(self: &Rc<Self>, run: RunRequest, upload: Option<Upload>) -> RunEnd {
         let Some((pool, idempotent, thresholds)) = self.start_run(&run) else {
             return RunEnd::NotRun(NotRunReason::NoGrant);
         };
         let grant = run.grant.clone();
-        let execution = Rc::clone(self).execute(run, pool, thresholds);
+        let execution = Rc::clone(self).execute(run, upload, pool, thresholds);
         if idempotent {
             let _end_grant = EndGrantOnDrop { guard: self, grant: grant.id };
             return execution.await;
         }
-        spawn_local(execution);
-        self.wait_for_end(&grant).await
+        let (tx, rx) = oneshot::channel();
+        spawn_local(async move {
+            // The ingress may have gone; it can still query the end.
+            _ = tx.send(execution.await);
+        });
+        rx.await.unwrap_or(RunEnd::Unknown(UnknownReason::GuardStateLost))
+    }
+
+    /// Uses a grant for a request of this VM, whose end no other proxy queries.
+    pub(in crate::proxy) async fn run_for_this_vm(self: &Rc<Self>, run: RunRequest) -> RunEnd {
+        let grant = run.grant.clone();
+        let end = self.run(run, None).await;
+        self.state.borrow_mut().ledger.forget(&grant);
+        end
     }
 
     fn start_run(&self, run: &RunRequest) -> Option<(Rc<EndpointPool>, bool, ProgressThresholds)> {
@@ -104,6 +125,7 @@
     async fn execute(
         self: Rc<Self>,
         run: RunRequest,
+        upload: Option<Upload>,
         pool: Rc<EndpointPool>,
         thresholds: ProgressThresholds,
     ) -> RunEnd {
@@ -129,7 +151,7 @@
             }
         }
         *head.headers_mut() = content.headers();
-        let body = content.body.into_vec().into();
+        let body = upload.map_or_else(|| OutBody::from(&content.body), OutBody::Upload);
         let req = EndpointRequest {
             request_id: request_id.clone(),
             instance_id: grant.endpoint.name.clone(),
@@ -138,7 +160,8 @@
             time_left,
         };
         let start = clock::now();
-        let exchange = pool.run(req, |it| self.handle_notice(&grant.endpoint, it, &request_id, start));
+        let exchange =
+            pool.run(req, &self.body_memory.answers, |it| self.handle_notice(&grant.endpoint, it, &request_id, start));
         tokio::pin!(exchange);
         let end = 'end: {
             for (after, sample, why) in thresholds.in_order() {
@@ -252,13 +275,43 @@
         self.issue_grants();
     }
 
-    /// Waits for the end of a grant's run; a grant that is not used yet is revoked.
-    pub async fn query_run_end(self: &Rc<Self>, grant: &Grant) -> RunEnd {
+    /// Waits for the end of a grant's run, and returns the part of the answer that the query needs; a grant that is not
+    /// used yet is revoked.
+    pub async fn query_run_end(self: &Rc<Self>, query: &RunQuery) -> RunEnd {
+        let grant = &query.grant;
+        let offset = match query.need {
+            AnswerNeed::From(it) => it,
+            AnswerNeed::Later => {
+                self.state.borrow_mut().ledger.note_needed(grant, clock::now());
+                return RunEnd::Unknown(UnknownReason::TimedOut);
+            }
+            AnswerNeed::Done => {
+                self.state.borrow_mut().ledger.forget(grant);
+                return RunEnd::Unknown(UnknownReason::GuardStateLost);
+            }
+        };
         let status = self.state.borrow().ledger.status(grant);
         if status == GrantStatus::Unused {
             self.end_grant(grant.id, RunEnd::NotRun(NotRunReason::NoGrant));
         }
-        timeout(RUN_QUERY_TIMEOUT, self.wait_for_end(grant)).await.unwrap_or(RunEnd::Unknown(UnknownReason::TimedOut))
+        let end = timeout(RUN_QUERY_TIMEOUT, self.wait_for_end(grant)).await;
+        let end = end.unwrap_or(RunEnd::Unknown(UnknownReason::TimedOut));
+        self.state.borrow_mut().ledger.note_needed(grant, clock::now());
+        end.part(offset)
+    }
+
+    /// Forgets old answers, and also those that were probably received while others wait for their memory. Never
+    /// returns.
+    pub(in crate::proxy) async fn free_answers(self: Rc<Self>) {
+        loop {
+            let is_wanted = timeout(FORGET_INTERVAL, self.body_memory.answers.wait_until_wanted()).await.is_ok();
+            let now = clock::now();
+            self.state.borrow_mut().ledger.forget_old(now);
+            if is_wanted {
+                self.state.borrow_mut().ledger.free_memory(now);
+            }
+            sleep(FREE_PAUSE).await;
+        }
     }
 
     async fn wait_for_end(&self, grant: &Grant) -> RunEnd {
--- a/src/proxy/ingress/attempt.rs
+++ b/src/proxy/ingress/attempt.rs
@@ -10,16 +10,25 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::{GuardRef, IngressRequest, RequestOutcome, Reservation, ReserveFailure, reserve::ReservationTerms};
+use super::{
+    GuardRef, IngressRequest, RequestOutcome, Reservation, ReserveFailure, answer::HeldAnswer,
+    reserve::ReservationTerms,
+};
 use crate::{
     decide::{
         hedge::{HedgeReason, OpenRun},
         incarnation::EndpointId,
     },
     proxy::{
-        Proxy, clock,
+        Proxy,
+        body_memory::SMALL_BODY,
+        clock,
+        directory::ProxyName,
         events::{AttemptFailure, Event},
-        message::{Grant, NotRunReason, RelayedQuery, RunEnd, RunQuery, RunRequest, RunResponse, UnknownReason, path},
+        message::{
+            AnswerNeed, Grant, NotRunReason, RelayedQuery, RunEnd, RunQuery, RunRequest, RunResponse, UnknownReason,
+            path,
+        },
         peer_link::{Link, LinkError},
     },
 };
@@ -31,7 +40,9 @@
 /// The timeout of a run query that is relayed by another proxy.
 const RELAYED_QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The pause between two run queries.
-const RUN_QUERY_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const RUN_QUERY_PAUSE: Duration = Duration::from_millis(100);
+/// How long a request waits for memory for the first part of its answer; its grant is revoked soon after.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(200);
 
 impl Proxy {
     pub(super) async fn serve_request(self: &Rc<Self>, req: &IngressRequest) -> RequestOutcome {
@@ -53,8 +64,7 @@
             let (reservation, end, took) = self.run_attempt(req, reservation, &mut tried).await;
             match end {
                 RunEnd::Answered { status, content, took } => {
-                    let Reservation { guard, grant } = reservation.clone();
-                    let outcome = RequestOutcome::Endpoint { status, content, guard, endpoint: grant.endpoint };
+                    let outcome = RequestOutcome::Endpoint { status, content, reservation: reservation.clone() };
                     if status < 500 {
                         self.ingress.borrow_mut().service_times.record(&req.route().name, took);
                         return outcome;
@@ -240,10 +250,15 @@
 
     async fn run_at_guard(self: &Rc<Self>, req: &IngressRequest, reservation: &Reservation, run: RunRequest) -> RunEnd {
         let (name, link) = match &reservation.guard {
-            GuardRef::Local => return self.guard.run(run).await,
+            GuardRef::Local => return self.guard.run_for_this_vm(run).await,
             GuardRef::Remote(name, link) => (name, link),
         };
-        match link.call::<_, RunResponse>(path::RUN, &run).await {
+        let Ok(Ok(room)) = timeout(MAX_ROOM_WAIT, self.body_memory.first_parts.take(SMALL_BODY)).await else {
+            return RunEnd::NotRun(NotRunReason::NoGrant);
+        };
+        let grant = run.grant.clone();
+        let (run, body) = run.into_message();
+        let end = match link.call_with_body::<_, RunResponse>(path::RUN, &run, body.as_ref()).await {
             Ok(it) => {
                 self.apply_guard_report(it.report);
                 self.guard.merge_crash_record(req.fingerprint, it.crash_record);
@@ -256,10 +271,12 @@
                 if req.is_idempotent() {
                     RunEnd::Unknown(UnknownReason::GuardStateLost)
                 } else {
-                    self.resolve_run_end(req, name, link, run.grant).await
+                    self.resolve_run_end(req, name, link, &grant).await
                 }
             }
-        }
+        };
+        let held = HeldAnswer { guard: name.clone(), link: Rc::clone(link), grant };
+        self.receive_answer(&held, end, room).await
     }
 
     /// Queries how a run ended whose answer was lost, for a request that must not run twice: at its guard, or through
@@ -269,21 +286,11 @@
         req: &IngressRequest,
         name: &str,
         link: &Rc<Link>,
-        grant: Grant,
+        grant: &Grant,
     ) -> RunEnd {
-        let query = RunQuery { grant };
+        let query = RunQuery { grant: grant.clone(), need: AnswerNeed::default() };
         loop {
-            let (through, found) = if link.is_connected() {
-                (name.into(), link.call_within::<_, RunEnd>(req.time_left(), path::RUN_QUERY, &query).await)
-            } else {
-                match self.random_connected_link_except(name, false) {
-                    Some((helper, it)) => {
-                        let relayed_query = RelayedQuery { guard_address: link.address, query: query.clone() };
-                        (helper, it.call_within::<_, RunEnd>(RELAYED_QUERY_TIMEOUT, path::RELAY, &relayed_query).await)
-                    }
-                    None => (name.into(), None),
-                }
-            };
+            let (through, found) = self.query_guard(name, link, &query, req.time_left()).await;
             let summary = match &found {
                 None => "no answer",
                 Some(RunEnd::Answered { .. }) => "answered",
@@ -298,6 +305,28 @@
             }
         }
     }
+
+    /// Sends a query to its guard, or through another proxy while the link to the guard is down. Returns the proxy that
+    /// was asked, and its answer if one came within `limit`.
+    pub(super) async fn query_guard(
+        &self,
+        name: &str,
+        link: &Link,
+        query: &RunQuery,
+        limit: Duration,
+    ) -> (ProxyName, Option<RunEnd>) {
+        if link.is_connected() {
+            return (name.into(), link.call_within(limit, path::RUN_QUERY, query).await);
+        }
+        match self.random_connected_link_except(name, false) {
+            Some((helper, it)) => {
+                let relayed_query = RelayedQuery { guard_address: link.address, query: query.clone() };
+                let found = it.call_within(limit.min(RELAYED_QUERY_TIMEOUT), path::RELAY, &relayed_query).await;
+                (helper, found)
+            }
+            None => (name.into(), None),
+        }
+    }
 }
 
 /// Whether a run ended with a successful answer.
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! Serves the requests that this proxy receives: finds the route, reserves endpoints, runs attempts and sends one
 //! response.
 
+mod answer;
 mod attempt;
 mod reserve;
 
@@ -10,23 +11,26 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::Full;
+use http_body_util::BodyExt as _;
 use hyper::{
     Request, Response, StatusCode,
-    body::{Bytes, Incoming},
+    body::{Body as _, Incoming},
     header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue},
+    http::request::Parts,
 };
 use rand::RngExt as _;
-use tokio::time::timeout;
+use tokio::{task::spawn_local, time::timeout};
 
 use crate::{
     decide::{
-        fingerprint::Fingerprint, incarnation::EndpointId, origin::RequestOrigin, service_times::ServiceTimes,
+        fingerprint::Fingerprint, origin::RequestOrigin, service_times::ServiceTimes,
         weighted_round_robin::WeightedRoundRobin,
     },
     platform,
     proxy::{
-        Proxy, client, clock,
+        Proxy,
+        body::{self, ReadError},
+        clock,
         directory::ProxyName,
         endpoint::EndpointNotice,
         events::{AnsweredRequest, Event},
@@ -47,6 +51,10 @@
 const RETRY_AFTER_BASE: Duration = Duration::from_millis(600);
 /// The `Retry-After` of a quarantined request without trials left: an operator must look at it.
 const RETRY_AFTER_TRIALS_USED_UP: Duration = Duration::from_secs(3_600);
+/// The least `Retry-After` of a request for whose body there was no memory: long uploads take about this.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
+/// How long the rest of a refused request's body is read and dropped, so that its sender gets to read the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The relative jitter of `Retry-After`, so that refused callers don't retry at the same time.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
@@ -146,7 +154,7 @@
 /// The result of a request, from which its response is made.
 enum RequestOutcome {
     /// An endpoint answered; its guard is the one of this proxy or of another one.
-    Endpoint { status: u16, content: HttpContent, guard: GuardRef, endpoint: EndpointId },
+    Endpoint { status: u16, content: HttpContent, reservation: Reservation },
     /// The request did not run and never will.
     NotRun(ReserveFailure),
     /// The request may have run.
@@ -157,8 +165,17 @@
 
 /// Serves one request and returns its response.
 pub(super) async fn handle_request(proxy: Rc<Proxy>, req: Request<Incoming>) -> FullResponse {
+    let (head, mut body) = req.into_parts();
+    let resp = serve(proxy, head, &mut body).await;
+    let is_refused = matches!(resp.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND);
+    if is_refused && !body.is_end_stream() {
+        spawn_local(timeout(DISCARD_TIMEOUT, async move { while let Some(Ok(_)) = body.frame().await {} }));
+    }
+    resp
+}
+
+async fn serve(proxy: Rc<Proxy>, head: Parts, body: &mut Incoming) -> FullResponse {
     let arrived = clock::now();
-    let (head, body) = req.into_parts();
     let id: Box<str> = platform::request_id(&head.headers).unwrap_or("").into();
     let rejected = |status: StatusCode, why: &str| {
         proxy.events.emit(&Event::Rejected { request: &id, status: status.as_u16(), why });
@@ -188,20 +205,21 @@
     }
     let route_index =
         config.routes().iter().position(|it| std::ptr::eq(it, route)).expect("the route is part of this configuration");
-    let body = match timeout(
-        config.limits.header_timeout.max(route.timeout),
-        client::collect_body(body, config.limits.body_bytes),
-    )
-    .await
-    {
+    let caller_timeout = platform::deadline(&head.headers).unwrap_or(route.timeout);
+    // Leaves the caller time to come back, and the request time to run.
+    let max_wait = caller_timeout.min(route.timeout) / 2;
+    let reading = body::read(body, config.limits.body_bytes, &proxy.body_memory.requests, max_wait);
+    let body = match timeout(config.limits.header_timeout.max(route.timeout), reading).await {
         Ok(Ok(it)) => it,
-        Ok(Err(error)) if client::is_body_too_long(&error) => {
-            return rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
+        Ok(Err(ReadError::TooLong)) => return rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long"),
+        Ok(Err(ReadError::NoRoom)) => {
+            let resp = rejected(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body");
+            return with_retry_after(resp, route.rank, RETRY_AFTER_NO_MEMORY);
         }
-        Ok(Err(_)) => return rejected(StatusCode::BAD_REQUEST, "body broke off"),
+        Ok(Err(ReadError::BrokenOff(_))) => return rejected(StatusCode::BAD_REQUEST, "body broke off"),
         Err(_) => return rejected(StatusCode::REQUEST_TIMEOUT, "body too slow"),
     };
-    let caller_deadline = arrived + platform::deadline(&head.headers).unwrap_or(route.timeout);
+    let caller_deadline = arrived + caller_timeout;
     let mut forwarded_headers = headers::end_to_end(&head.headers);
     platform::set_caller_service(&mut forwarded_headers, &proxy.settings.borrow().service);
     let service = proxy.pick_service(route);
@@ -213,11 +231,11 @@
         origin,
         service,
         id: id.clone(),
-        fingerprint: Fingerprint::of_request(head.method.as_str(), host, target, credentials, &body),
+        fingerprint: Fingerprint::of_segments(head.method.as_str(), host, target, credentials, body.segments()),
         is_quarantine_trial: Cell::new(false),
         method: head.method.as_str().into(),
         target: target.into(),
-        content: HttpContent::new(&forwarded_headers, &body),
+        content: HttpContent::new(&forwarded_headers, body),
         arrived,
         work_deadline: caller_deadline.min(arrived + route.timeout),
         answer_deadline: caller_deadline.min(arrived + route.timeout + TIMEOUT_SLACK),
@@ -321,10 +339,10 @@
     }
 
     /// Makes the response to a request and reports its result in events and metrics.
-    fn respond(&self, req: &IngressRequest, request_outcome: RequestOutcome) -> FullResponse {
+    fn respond(self: &Rc<Self>, req: &IngressRequest, request_outcome: RequestOutcome) -> FullResponse {
         let (resp, outcome) = match request_outcome {
-            RequestOutcome::Endpoint { status, content, guard, endpoint } => {
-                (self.pass_on(status, content, &guard, &endpoint), "answered")
+            RequestOutcome::Endpoint { status, content, reservation } => {
+                (self.pass_on(status, content, reservation), "answered")
             }
             RequestOutcome::NotRun(ReserveFailure::NoEndpoint) => (self.refuse(req, "no endpoint\n"), "no-endpoint"),
             RequestOutcome::NotRun(ReserveFailure::NoCapacity) => (self.refuse(req, "no free place in time\n"), "full"),
@@ -378,14 +396,14 @@
     }
 
     /// Makes the response from an endpoint's answer, and remembers what the answer states about the endpoint.
-    fn pass_on(&self, status: u16, content: HttpContent, guard: &GuardRef, endpoint: &EndpointId) -> FullResponse {
-        let mut resp = Response::new(Full::new(Bytes::new()));
-        *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-        *resp.headers_mut() = content.headers();
-        *resp.body_mut() = Full::new(Bytes::from(content.body.into_vec()));
-        if let GuardRef::Remote(name, _) = guard {
-            self.record_passed_on(name, endpoint, EndpointNotice::new(resp.headers()));
+    fn pass_on(self: &Rc<Self>, status: u16, content: HttpContent, reservation: Reservation) -> FullResponse {
+        let headers = content.headers();
+        if let GuardRef::Remote(name, _) = &reservation.guard {
+            self.record_passed_on(name, &reservation.grant.endpoint, EndpointNotice::new(&headers));
         }
+        let mut resp = Response::new(self.answer_body(content, reservation));
+        *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        *resp.headers_mut() = headers;
         resp
     }
 }
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -22,6 +22,8 @@
     },
     platform::Era,
     proxy::{
+        body::{Body, SEGMENT},
+        body_memory::SMALL_BODY,
         directory::{GuardedService, Incarnation, ProxyName, ProxyStatus, Row, StatusUpdate},
         routes::{RouteName, ServiceName, Version},
     },
@@ -223,21 +225,52 @@
     pub endpoint: EndpointId,
 }
 
-/// Headers and complete body of an HTTP request or response.
+/// Headers and body of an HTTP request or response.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HttpContent {
     /// End-to-end headers.
     headers: Vec<(Box<str>, ByteBuf)>,
-    /// The body.
-    pub body: ByteBuf,
+    /// The body, or its first part.
+    pub body: Body,
+    /// The number of further bytes of the body. Those of a request follow the message; those of a response are fetched
+    /// with [`RunQuery`]. Not sent if it is zero, so that proxies of earlier releases understand short bodies.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub left: usize,
+}
+
+fn is_zero(number: &usize) -> bool {
+    *number == 0
 }
 
 impl HttpContent {
-    /// Copies `headers` and `body`.
-    pub fn new(headers: &HeaderMap, body: &[u8]) -> Self {
+    /// Copies `headers`; `body` is complete.
+    pub fn new(headers: &HeaderMap, body: Body) -> Self {
         let headers =
             headers.iter().map(|(name, value)| (name.as_str().into(), ByteBuf::from(value.as_bytes()))).collect();
-        Self { headers, body: ByteBuf::from(body) }
+        Self { headers, body, left: 0 }
+    }
+
+    /// The length of the whole body in bytes.
+    pub fn len(&self) -> usize {
+        self.body.len() + self.left
+    }
+
+    /// Whether the body is empty.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// This content without its body, if that is too long for a message; the body follows the message.
+    fn with_body_apart(&self) -> Option<Self> {
+        let is_long = self.body.len() > SMALL_BODY;
+        is_long.then(|| Self { headers: self.headers.clone(), body: Body::default(), left: self.body.len() })
+    }
+
+    /// The part of the body from `offset` on that fits into a message, with the headers if it is the first.
+    fn part(&self, offset: usize) -> Self {
+        let (headers, len) = if offset == 0 { (self.headers.clone(), SMALL_BODY) } else { (Vec::new(), SEGMENT) };
+        let body = self.body.slice(offset, len);
+        Self { left: self.body.len().saturating_sub(offset + body.len()), headers, body }
     }
 
     /// The headers, without invalid ones.
@@ -280,6 +313,19 @@
     pub fingerprint: Fingerprint,
 }
 
+impl RunRequest {
+    /// The message for another proxy, and the body if that follows it.
+    pub(super) fn into_message(self) -> (Self, Option<Body>) {
+        match self.content.with_body_apart() {
+            Some(content) => {
+                let body = self.content.body;
+                (Self { content, ..self }, Some(body))
+            }
+            None => (self, None),
+        }
+    }
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum RunEnd {
@@ -298,6 +344,26 @@
     Unknown(UnknownReason),
 }
 
+impl RunEnd {
+    /// This end with the part of the answer's body from `offset` on that fits into a message.
+    pub fn part(&self, offset: usize) -> Self {
+        match self {
+            Self::Answered { status, content, took } => {
+                Self::Answered { status: *status, content: content.part(offset), took: *took }
+            }
+            Self::NotRun(_) | Self::Unknown(_) => self.clone(),
+        }
+    }
+
+    /// The length of the answer's body in bytes; zero if there is no answer.
+    pub fn body_len(&self) -> usize {
+        match self {
+            Self::Answered { content, .. } => content.len(),
+            Self::NotRun(_) | Self::Unknown(_) => 0,
+        }
+    }
+}
+
 /// Why a request did not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRunReason {
@@ -324,7 +390,7 @@
     /// No response came within the time limit. In the reply to a [`RunQuery`]: the run has not ended yet.
     #[serde(rename = "Silent")]
     TimedOut,
-    /// The guard has no record of the grant, for example after a restart.
+    /// The guard has no record of the grant, for example after a restart, or got only a part of the request.
     #[serde(rename = "GuardGone")]
     GuardStateLost,
 }
@@ -345,9 +411,36 @@
 
 /// Asks how the run of a grant ended. An unused grant is revoked.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct RunQuery {
+pub struct RunQuery {
     /// The grant that permits the run.
     pub grant: Grant,
+    /// What the sender needs of the answer. Not sent for its beginning, so that proxies of earlier releases understand
+    /// the query.
+    #[serde(default, skip_serializing_if = "AnswerNeed::is_default")]
+    pub need: AnswerNeed,
+}
+
+/// What an ingress needs of an answer that its guard holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerNeed {
+    /// The part of its body from this offset on; with the headers if that is zero.
+    From(usize),
+    /// Nothing yet: the caller is slow.
+    Later,
+    /// Nothing more.
+    Done,
+}
+
+impl AnswerNeed {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl Default for AnswerNeed {
+    fn default() -> Self {
+        Self::From(0)
+    }
 }
 
 /// A [`RunQuery`] that the receiver forwards, because the sender can't reach the guard.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,6 +5,8 @@
 
 mod admin;
 mod backoff;
+pub mod body;
+mod body_memory;
 mod client;
 mod clock;
 mod config_watch;
@@ -59,6 +61,7 @@
     error::Error,
     platform::{ConfigFinding, ParsedConfig, Store},
     proxy::{
+        body_memory::BodyMemory,
         directory::{Directory, GuardedService, ProxyName, Row},
         endpoint_reports::EndpointReports,
         events::{Event, EventLog},
@@ -88,6 +91,7 @@
     events: Rc<EventLog>,
     store: Store,
     guard: Rc<Guard>,
+    body_memory: Rc<BodyMemory>,
     /// Active configuration; its version never decreases.
     config: RefCell<Option<Rc<Config>>>,
     /// Invalid parts of the active configuration.
@@ -167,12 +171,22 @@
     fn new(settings: Settings, path: &Path, events: Rc<EventLog>) -> Result<Self, Error> {
         let now = clock::now();
         let retry_budget = RetryBudgetConfig { ratio: settings.retry_ratio, slack: settings.retry_slack };
+        let body_memory =
+            Rc::new(BodyMemory::new(settings.memory_bytes.unwrap_or_else(body_memory::default_process_memory)));
+        let guard = Guard::new(
+            rand::random(),
+            settings.announce_interval,
+            retry_budget,
+            Rc::clone(&events),
+            Rc::clone(&body_memory),
+        );
         Ok(Self {
             name: settings.name.clone(),
             started: now,
             settings_path: path.into(),
             store: Store::new(settings.store),
-            guard: Rc::new(Guard::new(rand::random(), settings.announce_interval, retry_budget, Rc::clone(&events))),
+            guard: Rc::new(guard),
+            body_memory,
             events,
             config: RefCell::default(),
             config_findings: RefCell::default(),
--- a/src/proxy/peer_link.rs
+++ b/src/proxy/peer_link.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::Full;
 use hyper::{
     Method, Request, StatusCode,
     body::Bytes,
     client::conn::http2::{Builder, SendRequest},
+    header::HeaderName,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Serialize, de::DeserializeOwned};
@@ -25,6 +25,7 @@
         suspicion::EndpointStanding,
     },
     proxy::{
+        body::{Body, OutBody},
         client, clock,
         directory::{ProxyStatus, Row},
         net::{self, AbortOnDropTask, LocalExecutor},
@@ -40,7 +41,9 @@
 /// A ping unanswered for this long closes the connection. It covers the retransmission of a few packets; with
 /// `PING_INTERVAL` a dead path is detected within two seconds.
 const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The longest response of a peer, in bytes: an endpoint's response and its envelope.
+/// The length of the message at the beginning of a call, in bytes, if a body follows it.
+pub(super) const MESSAGE_LENGTH: HeaderName = HeaderName::from_static("message-length");
+/// The longest response of a peer, in bytes: proxies of earlier releases send whole answers.
 const MAX_REPLY_BYTES: usize = client::MAX_RESPONSE_BYTES + (1 << 20);
 
 /// Why a call to a peer failed.
@@ -83,7 +86,7 @@
     status: Cell<(Incarnation, ProxyStatus)>,
     /// The newest configuration version that the peer is known to have.
     known_version: Cell<Version>,
-    sender: RefCell<Option<SendRequest<Full<Bytes>>>>,
+    sender: RefCell<Option<SendRequest<OutBody>>>,
     health: RefCell<PathHealth>,
     /// The number of running and waiting requests that the peer last reported, and when.
     reported_load: Cell<(u32, Instant)>,
@@ -265,13 +268,29 @@
         &self,
         path: &'static str,
         req: &Req,
+    ) -> Result<Resp, LinkError> {
+        self.call_with_body(path, req, None).await
+    }
+
+    /// Calls the peer as [`Self::call`] does; `body` follows the message.
+    pub(super) async fn call_with_body<Req: Serialize, Resp: DeserializeOwned>(
+        &self,
+        path: &'static str,
+        req: &Req,
+        body: Option<&Body>,
     ) -> Result<Resp, LinkError> {
         let sender = self.sender.borrow().clone();
         let Some(mut sender) = sender else { return Err(LinkError::NotConnected) };
         self.open_calls.set(self.open_calls.get() + 1);
         let _open = OpenCallGuard(self);
-        let body = rmp_serde::to_vec(req).expect("messages can be encoded");
-        let mut http = Request::new(Full::new(Bytes::from(body)));
+        let message = Bytes::from(rmp_serde::to_vec(req).expect("messages can be encoded"));
+        let message_len = message.len();
+        let mut segments = vec![message];
+        segments.extend(body.into_iter().flat_map(Body::segments).cloned());
+        let mut http = Request::new(OutBody::from(&Body::from(segments)));
+        if body.is_some() {
+            http.headers_mut().insert(MESSAGE_LENGTH, message_len.into());
+        }
         *http.method_mut() = Method::POST;
         *http.uri_mut() = format!("http://{}{path}", self.address).parse().expect("an address and a path form a URI");
         if sender.ready().await.is_err() {
--- a/src/proxy/peer_server.rs
+++ b/src/proxy/peer_server.rs
@@ -2,8 +2,9 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use http_body_util::BodyExt as _;
 use hyper::{
-    Request, StatusCode,
+    HeaderMap, Request, StatusCode,
     body::{Bytes, Incoming},
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -11,24 +12,36 @@
 use crate::{
     platform::ParsedConfig,
     proxy::{
-        Proxy, client,
+        Proxy,
+        body::Upload,
+        client,
         message::{
             GrantRefusal, GuardReport, RelayedQuery, ReserveRequest, ReserveResponse, RunEnd, RunQuery, RunRequest,
             RunResponse, UnknownReason, path,
         },
-        peer_link::{Link, LinkError},
+        peer_link::{Link, LinkError, MESSAGE_LENGTH},
         routes::Version,
         server::{FullResponse, response},
     },
     rows::member_key,
 };
 
-/// The longest call, in bytes: a caller's request and its envelope.
+/// The longest call without a separate body, in bytes: proxies of earlier releases send whole requests.
 const MAX_CALL_BYTES: usize = client::MAX_RESPONSE_BYTES + (1 << 20);
+/// The longest message before a body, in bytes.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
 /// Responds to one call of a peer.
 pub(super) async fn handle(proxy: Rc<Proxy>, req: Request<Incoming>) -> FullResponse {
-    let (head, body) = req.into_parts();
+    let (head, mut body) = req.into_parts();
+    if let Some(len) = message_length(&head.headers) {
+        return match read_message(&mut body, len).await {
+            Some((message, first)) if head.uri.path() == path::RUN => {
+                decode_and_reply(&message, |it| proxy.run_upload(it, first, body)).await
+            }
+            Some(_) | None => response(StatusCode::BAD_REQUEST, Bytes::new()),
+        };
+    }
     let body = match client::collect_body(body, MAX_CALL_BYTES).await {
         Ok(it) => it,
         Err(error) => {
@@ -38,10 +51,8 @@
     };
     match head.uri.path() {
         path::RESERVE => decode_and_reply(&body, |it| proxy.reserve(it)).await,
-        path::RUN => decode_and_reply(&body, |it| proxy.run_request(it)).await,
-        path::RUN_QUERY => {
-            decode_and_reply(&body, async |it: RunQuery| proxy.guard.query_run_end(&it.grant).await).await
-        }
+        path::RUN => decode_and_reply(&body, |it| proxy.run_request(it, None)).await,
+        path::RUN_QUERY => decode_and_reply(&body, async |it: RunQuery| proxy.guard.query_run_end(&it).await).await,
         path::RELAY => decode_and_reply(&body, |it| proxy.relay_query(it)).await,
         path::HELLO => decode_and_reply(&body, async |it| proxy.answer_hello(it)).await,
         path::BRIEF => decode_and_reply(&body, async |it| proxy.apply_status_update(&it)).await,
@@ -56,6 +67,27 @@
     }
 }
 
+/// The length of the message if a body follows it.
+fn message_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(MESSAGE_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads a message of `len` bytes. Returns it with the beginning of the body that follows it; `None` if it is too long
+/// or incomplete.
+async fn read_message(body: &mut Incoming, len: usize) -> Option<(Vec<u8>, Bytes)> {
+    if len > MAX_MESSAGE_BYTES {
+        return None;
+    }
+    let mut message = Vec::with_capacity(len);
+    loop {
+        let mut data = body.frame().await?.ok()?.into_data().unwrap_or_default();
+        message.extend_from_slice(&data.split_to(data.len().min(len - message.len())));
+        if message.len() == len {
+            return Some((message, data));
+        }
+    }
+}
+
 async fn decode_and_reply<Req, Resp>(body: &[u8], handle: impl AsyncFnOnce(Req) -> Resp) -> FullResponse
 where
     Req: DeserializeOwned,
@@ -99,12 +131,18 @@
         }
     }
 
-    async fn run_request(self: &Rc<Self>, run: RunRequest) -> RunResponse {
+    async fn run_request(self: &Rc<Self>, run: RunRequest, upload: Option<Upload>) -> RunResponse {
         let fingerprint = run.fingerprint;
-        let end = self.guard.run(run).await;
+        let end = self.guard.run(run, upload).await.part(0);
         RunResponse { report: self.guard_report(), end, crash_record: self.guard.crash_record(fingerprint) }
     }
 
+    /// Runs a request whose body follows the message; `first` is its beginning.
+    async fn run_upload(self: &Rc<Self>, run: RunRequest, first: Bytes, rest: Incoming) -> RunResponse {
+        let upload = Upload::new(first, rest, run.content.left);
+        self.run_request(run, Some(upload)).await
+    }
+
     async fn relay_query(self: &Rc<Self>, relayed: RelayedQuery) -> RunEnd {
         match self.forward_query(&relayed).await {
             Ok(it) => it,
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,7 +2,6 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -17,10 +16,12 @@
     time::sleep,
 };
 
-use crate::proxy::{header_timeout::HeaderTimeoutStream, net, net::LocalExecutor, routes::RequestLimits};
+use crate::proxy::{
+    body::OutBody, header_timeout::HeaderTimeoutStream, net, net::LocalExecutor, routes::RequestLimits,
+};
 
-/// A response whose body is held in memory.
-pub(super) type FullResponse = Response<Full<Bytes>>;
+/// A response to a caller or to another proxy.
+pub(super) type FullResponse = Response<OutBody>;
 
 /// Pause after `accept` failed, for example because the process has no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -33,6 +34,10 @@
 const PEER_PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which an unanswered ping closes the connection.
 const PEER_PING_TIMEOUT: Duration = Duration::from_secs(2);
+/// How much of a request's body a peer may send ahead of what the endpoint has read, in bytes.
+const PEER_STREAM_WINDOW: u32 = 256 << 10;
+/// The same for all requests of a peer: bodies that the endpoint doesn't read must not hold up other calls.
+const PEER_CONNECTION_WINDOW: u32 = 16 << 20;
 
 /// Accepts connections forever and passes each to `serve`.
 async fn accept(listener: TcpListener, serve: impl Fn(TcpStream, SocketAddr)) {
@@ -103,6 +108,8 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(PEER_PING_INTERVAL)
             .keep_alive_timeout(PEER_PING_TIMEOUT)
+            .initial_stream_window_size(PEER_STREAM_WINDOW)
+            .initial_connection_window_size(PEER_CONNECTION_WINDOW)
             // Peers don't use the date header.
             .auto_date_header(false)
             .serve_connection(TokioIo::new(stream), service);
@@ -117,7 +124,7 @@
 
 /// Creates a response that this proxy itself gives.
 pub(super) fn response(status: StatusCode, body: impl Into<Bytes>) -> FullResponse {
-    let mut resp = Response::new(Full::new(body.into()));
+    let mut resp = Response::new(OutBody::from(body.into()));
     *resp.status_mut() = status;
     resp
 }
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -8,6 +8,8 @@
     proxy::directory::ProxyName,
 };
 
+/// The least memory with which a proxy starts, in megabytes.
+const MIN_MEMORY_MB: f64 = 100.0;
 /// Settings that the platform writes for a proxy.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -41,6 +43,8 @@
     pub retry_ratio: f64,
     /// Retries allowed beyond `retry_ratio`, for all guards of a service together.
     pub retry_slack: f64,
+    /// Memory that the process may use, in bytes. It bounds the bodies that are held.
+    pub memory_bytes: Option<usize>,
 }
 
 impl Settings {
@@ -79,6 +83,7 @@
     let shutdown_grace = section.required_decimal("grace_s", 0.5..3_600.0);
     let retry_ratio = section.required_decimal("retry_ratio", 0.0..10.0);
     let retry_slack = section.required_decimal("retry_slack", 0.0..1e9);
+    let memory_mb = section.decimal("memory_mb", MIN_MEMORY_MB..1e6);
     Some(Settings {
         name: name?,
         data_centre: data_centre?,
@@ -95,5 +100,6 @@
         shutdown_grace: Duration::from_secs_f64(shutdown_grace?),
         retry_ratio: retry_ratio?,
         retry_slack: retry_slack?,
+        memory_bytes: memory_mb.map(|it| (it * 1e6) as usize),
     })
 }
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -126,7 +126,7 @@
 
     /// Number of caller requests and of runs at the endpoint that have not ended.
     fn work_in_progress(&self) -> usize {
-        self.open_requests.get() + self.guard.open_grants()
+        self.open_requests.get() + self.guard.open_work()
     }
 
     /// Waits until this proxy is stopping and all its requests must have their responses.
--- a/src/util.rs
+++ b/src/util.rs
@@ -27,12 +27,23 @@
 
 /// 64-bit hash of byte strings, from SHA-256. It is the same on every machine and in every release.
 pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let (last, head) = parts.split_last().expect("something is hashed");
+    stable_hash_segmented(head, &[last])
+}
+
+/// [`stable_hash`] of `head` and one more byte string, which is the sequence of `segments`.
+pub fn stable_hash_segmented(head: &[&[u8]], segments: &[impl AsRef<[u8]>]) -> u64 {
     use sha2::{Digest as _, Sha256};
     let mut hasher = Sha256::new();
-    for part in parts {
+    for part in head {
         hasher.update((part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
+    let len: usize = segments.iter().map(|it| it.as_ref().len()).sum();
+    hasher.update((len as u64).to_le_bytes());
+    for it in segments {
+        hasher.update(it);
+    }
     let digest = hasher.finalize();
     u64::from_le_bytes(digest[..8].try_into().expect("a SHA-256 digest has 32 bytes"))
 }
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -113,6 +113,8 @@
     open_connections: Vec<Weak<TcpStream>>,
     health_path: String,
     work_time: Duration,
+    /// Length of the body of its answers; `None` for a short one.
+    answer_len: Option<usize>,
     /// Rest of the warm-up in its heartbeats.
     warmup_left: Duration,
     instance: String,
@@ -168,6 +170,7 @@
             open_connections: Vec::new(),
             health_path: "/health".into(),
             work_time,
+            answer_len: None,
             warmup_left: Duration::ZERO,
             instance: instance.into(),
             started_at: unix_millis(),
@@ -263,6 +266,11 @@
         self.lock().mode = mode;
     }
 
+    /// Sets the length of the bodies of its answers from now on; see [`long_body`].
+    pub fn set_answer_len(&self, len: usize) {
+        self.lock().answer_len = Some(len);
+    }
+
     /// Sets the rest of the warm-up that its heartbeats report from now on.
     pub fn set_warmup(&self, left: Duration) {
         self.lock().warmup_left = left;
@@ -387,9 +395,9 @@
 
     /// Handles a request according to the mode; returns whether to keep the connection.
     fn respond(&self, req: &Message, writer: &mut TcpStream) -> bool {
-        let (mode, work_time, instance) = {
+        let (mode, work_time, answer_len, instance) = {
             let state = self.lock();
-            (state.mode, state.work_time, state.instance.clone())
+            (state.mode, state.work_time, state.answer_len, state.instance.clone())
         };
         let id = req.header("x-request-id").unwrap_or("").to_owned();
         let is_for_other_instance = req.header("x-expect-instance").is_some_and(|it| it != instance);
@@ -416,7 +424,7 @@
         }
         let seal = format!("seal-{id}");
         let headers = [("X-Request-Id", &*id), ("X-Response-Seal", &*seal)];
-        let body = format!("{} {id}", self.service).into_bytes();
+        let body = answer_len.map_or_else(|| format!("{} {id}", self.service).into_bytes(), |it| long_body(&id, it));
         let complete = self.encode("HTTP/1.1 200 x", &headers, &body);
         match mode {
             EndpointMode::Good => writer.write_all(&complete).is_ok(),
@@ -505,6 +513,16 @@
     }
 }
 
+/// A body of `len` bytes that shows to which request it belongs and whether a part of it is missing.
+pub fn long_body(request_id: &str, len: usize) -> Vec<u8> {
+    let mut body = Vec::with_capacity(len + 32);
+    while body.len() < len {
+        write!(body, "{request_id} {} ", body.len()).expect("a vector takes all bytes");
+    }
+    body.truncate(len);
+    body
+}
+
 fn unix_millis() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
--- a/standins/src/platform/site.rs
+++ b/standins/src/platform/site.rs
@@ -259,6 +259,14 @@
         &self.log_path
     }
 
+    /// The most memory that the process has had so far, in megabytes.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kibibytes = line.and_then(|it| it.trim().strip_suffix(" kB")?.parse::<f64>().ok());
+        kibibytes.unwrap_or(f64::NAN) * 1024.0 / 1e6
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         // Fails if the process has exited, which is not an error here.
--- /dev/null
+++ b/standins/tests/large_bodies.rs
@@ -0,0 +1,258 @@
+//! Large bodies of requests and answers: no mix of them may end a proxy by its memory, and no answer may be lost.
+
+use std::{
+    io::{self, BufReader, Write as _},
+    net::TcpStream,
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
+    thread,
+    time::Duration,
+};
+
+use rstest::rstest;
+use serde_json::json;
+use standins::platform::{
+    caller::CallerRequest,
+    endpoint::long_body,
+    fixtures::{run_count, two_routes},
+    http::{self, Message},
+    site::{HOST, Proxy, Site, eventually},
+};
+
+const MB: usize = 1_000_000;
+/// Memory of a VM's proxy, in megabytes.
+const MEMORY_MB: f64 = 260.0;
+const DEADLINE: Duration = Duration::from_secs(20);
+
+/// Two endpoints of `desk` on the first two VMs and none on the others, which are ingresses of `ledger`; bodies may have
+/// 64 MiB and requests may take twenty seconds.
+fn start_site(ingresses: usize, with_relays: bool) -> Site {
+    let mut site = if with_relays { Site::start_with_relays() } else { Site::start() }.expect("the store starts");
+    let mut config = two_routes(1);
+    config["limits"]["max_body_bytes"] = json!(64 << 20);
+    for route in ["read", "write"] {
+        config["routes"][route]["timeout_s"] = json!(DEADLINE.as_secs());
+    }
+    site.store.put_config(config);
+    site.add_vm("desk", "dc-1", 7, Duration::from_millis(40)).expect("the proxy starts");
+    for _ in 0..ingresses {
+        site.add_vm("ledger", "dc-1", 7, Duration::from_millis(40)).expect("the proxy starts");
+    }
+    assert!(site.wait_until_ready(1 + ingresses), "not every proxy lists all endpoints");
+    assert!(eventually(|| site.proxies.iter().all(|it| it.linked_proxies() == ingresses)));
+    site
+}
+
+fn request<'a>(method_and_target: &'a str, request_id: &'a str, body: &'a [u8]) -> CallerRequest<'a> {
+    CallerRequest { method_and_target, host: HOST, request_id, deadline: DEADLINE, body }
+}
+
+/// Sends a request whose body has no length but comes in chunks.
+fn send_chunked(proxy: &Proxy, request_id: &str, body: &[u8]) -> io::Result<Message> {
+    let mut stream = TcpStream::connect(proxy.callers)?;
+    stream.set_read_timeout(Some(DEADLINE))?;
+    let deadline = DEADLINE.as_millis();
+    write!(
+        stream,
+        "POST /write/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )?;
+    for part in body.chunks(50_000) {
+        write!(stream, "{:x}\r\n", part.len())?;
+        stream.write_all(part)?;
+        stream.write_all(b"\r\n")?;
+    }
+    stream.write_all(b"0\r\n\r\n")?;
+    http::read_message(&mut BufReader::new(stream))?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+fn peaks(site: &Site) -> Vec<f64> {
+    site.proxies.iter().map(Proxy::peak_memory_mb).collect()
+}
+
+/// Guards against uploads that end a proxy by its memory, with all other requests that it serves.
+#[rstest]
+#[case::two_long(1, 2, 48, false)]
+#[case::many_middling(1, 40, 6, false)]
+#[case::without_length(1, 8, 30, true)]
+#[case::several_ingresses_at_one_guard(3, 9, 40, false)]
+fn uploads_stay_within_the_memory(
+    #[case] ingresses: usize,
+    #[case] uploads: usize,
+    #[case] megabytes: usize,
+    #[case] chunked: bool,
+) {
+    let site = start_site(ingresses, false);
+    let is_over = AtomicBool::new(false);
+    let served = AtomicU32::new(0);
+
+    let small_statuses = thread::scope(|scope| {
+        let small = scope.spawn(|| {
+            let mut statuses = Vec::new();
+            while !is_over.load(Ordering::Relaxed) {
+                let id = format!("small-{}", statuses.len());
+                let resp = request("POST /write/x", &id, &[0; 4000]).send_and_read(site.proxies[1].callers);
+                statuses.push(resp.map(|it| it.status()).map_err(|it| it.kind()));
+            }
+            statuses
+        });
+        let callers: Vec<_> = (0..uploads)
+            .map(|it| {
+                let (site, served) = (&site, &served);
+                scope.spawn(move || {
+                    let id = format!("upload-{it}");
+                    let body = long_body(&id, megabytes * MB);
+                    let proxy = &site.proxies[1 + it % ingresses];
+                    let send = || match chunked {
+                        true => send_chunked(proxy, &id, &body),
+                        false => request("POST /write/x", &id, &body).send_and_read(proxy.callers),
+                    };
+                    let resp = send().expect("the proxy responds");
+                    match resp.status() {
+                        200 => _ = served.fetch_add(1, Ordering::Relaxed),
+                        503 => {
+                            assert!(resp.header("retry-after").is_some(), "{resp:?}");
+                            assert_eq!(run_count(site, &id), 0, "the answer promises that {id} has not run");
+                        }
+                        other => panic!("{id} got {other}"),
+                    }
+                })
+            })
+            .collect();
+        callers.into_iter().for_each(|it| it.join().expect("each upload gets 200 or a truthful 503"));
+        is_over.store(true, Ordering::Relaxed);
+        small.join().expect("the caller thread does not panic")
+    });
+
+    let peaks = peaks(&site);
+    assert!(peaks.iter().all(|it| *it < MEMORY_MB), "{peaks:?}");
+    assert!(small_statuses.iter().all(|it| *it == Ok(200)), "{small_statuses:?}");
+    let served = served.into_inner();
+    println!("{served} of {uploads} uploads served, peaks {peaks:?}, {} small requests", small_statuses.len());
+    assert!(served >= 2, "only {served} uploads were served");
+}
+
+/// Guards against answers that are dropped before their caller got them, with 502 although the endpoint has answered.
+#[rstest]
+#[case::two_middling(2, 10, "POST /write/x")]
+#[case::one_long(1, 24, "POST /write/x")]
+#[case::many_middling(7, 20, "POST /write/x")]
+#[case::many_idempotent(7, 20, "GET /read/x")]
+fn answers_reach_their_callers_within_the_memory(
+    #[case] callers: usize,
+    #[case] megabytes: usize,
+    #[case] method_and_target: &str,
+) {
+    let site = start_site(1, false);
+    site.proxies[0].endpoint.set_answer_len(megabytes * MB);
+
+    let answers: Vec<_> = thread::scope(|scope| {
+        let send = |it| {
+            let id = format!("r-{it}");
+            let resp = request(method_and_target, &id, b"").send_and_read(site.proxies[1].callers);
+            let resp = resp.expect("the proxy responds");
+            (resp.status(), resp.body == long_body(&id, megabytes * MB))
+        };
+        let callers: Vec<_> = (0..callers).map(|it| scope.spawn(move || send(it))).collect();
+        callers.into_iter().map(|it| it.join().expect("the caller thread does not panic")).collect()
+    });
+
+    assert!(answers.iter().all(|it| *it == (200, true)), "{answers:?}");
+    assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
+}
+
+/// Guards against a bound on memory that rejects what the limits allow.
+#[rstest]
+#[case::through_another_proxy(1)]
+#[case::at_the_endpoint_of_the_ingress(0)]
+fn a_body_of_60_mb_passes_each_way(#[case] ingress: usize) {
+    let site = start_site(1, false);
+    site.proxies[0].endpoint.set_answer_len(60 * MB);
+    let body = long_body("upload", 60 * MB);
+
+    let resp = request("POST /write/x", "r-1", &body).send_and_read(site.proxies[ingress].callers);
+
+    let resp = resp.expect("the proxy responds");
+    let arrivals = site.proxies[0].endpoint.arrivals();
+    assert!(resp.status() == 200 && resp.body == long_body("r-1", 60 * MB), "{}", resp.start_line);
+    assert!(arrivals.len() == 1 && arrivals[0].body == body);
+    assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
+}
+
+/// Guards against a mix of long uploads and long answers at VMs whose proxies are ingress and guard at once.
+#[test]
+fn uploads_with_long_answers_stay_within_the_memory() {
+    const CALLERS: usize = 16;
+    let site = start_site(1, false);
+    site.proxies[0].endpoint.set_answer_len(25 * MB);
+
+    let statuses: Vec<_> = thread::scope(|scope| {
+        let send = |it: usize| {
+            let id = format!("r-{it}");
+            let body = long_body(&id, (1 + it % 4 * 14) * MB);
+            let resp = request("POST /write/x", &id, &body).send_and_read(site.proxies[it % 2].callers);
+            let resp = resp.expect("the proxy responds");
+            assert!(resp.status() != 200 || resp.body == long_body(&id, 25 * MB), "{id} got another body");
+            assert!(resp.status() != 503 || run_count(&site, &id) == 0, "{id} has run");
+            resp.status()
+        };
+        let callers: Vec<_> = (0..CALLERS).map(|it| scope.spawn(move || send(it))).collect();
+        callers.into_iter().map(|it| it.join().expect("each caller gets the truth")).collect()
+    });
+
+    let peaks = peaks(&site);
+    println!("{statuses:?}, peaks {peaks:?}");
+    assert!(statuses.iter().all(|it| matches!(it, 200 | 503)), "{statuses:?}");
+    assert!(statuses.iter().filter(|it| **it == 200).count() >= 4, "{statuses:?}");
+    assert!(peaks.iter().all(|it| *it < MEMORY_MB), "{peaks:?}");
+}
+
+/// Guards against callers that read slowly and fill the memory of their ingress or of a guard.
+#[test]
+fn slow_readers_get_their_answers_within_the_memory() {
+    const CALLERS: usize = 14;
+    const SLOTS: usize = 7;
+    let site = start_site(2, false);
+    site.proxies[0].endpoint.set_answer_len(12 * MB);
+
+    let answers: Vec<_> = thread::scope(|scope| {
+        let read = |it: usize| {
+            let id = format!("r-{it}");
+            let resp = request("GET /read/x", &id, b"").send_and_read_slowly(site.proxies[1 + it % 2].callers, 4 * MB);
+            let (status, body) = resp.expect("a complete answer");
+            match status {
+                200 => body == long_body(&id, 12 * MB),
+                // No slot was free in time.
+                503 => run_count(&site, &id) == 0,
+                _ => false,
+            }
+        };
+        let callers: Vec<_> = (0..CALLERS).map(|it| scope.spawn(move || read(it))).collect();
+        callers.into_iter().map(|it| it.join().expect("the caller thread does not panic")).collect()
+    });
+
+    let runs = site.proxies[0].endpoint.arrivals().len();
+    assert!(answers.iter().all(|it| *it), "{answers:?}");
+    assert!(runs > SLOTS, "only {runs} requests were served");
+    assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
+}
+
+/// Guards against an answer that is lost because the link to its guard breaks while its parts are fetched.
+#[test]
+fn an_answer_is_completed_after_its_link_broke() {
+    let site = start_site(1, true);
+    site.proxies[0].endpoint.set_answer_len(30 * MB);
+    let relays = site.proxies[0].relays.clone().expect("the site has relays");
+
+    let (status, body) = thread::scope(|scope| {
+        let caller =
+            scope.spawn(|| request("GET /read/x", "r-1", b"").send_and_read_slowly(site.proxies[1].callers, 10 * MB));
+        thread::sleep(Duration::from_millis(1_000));
+        relays.peers.reset_open_connections();
+        thread::sleep(Duration::from_millis(500));
+        relays.peers.reset_open_connections();
+        caller.join().expect("the caller thread does not panic").expect("a complete answer")
+    });
+
+    assert_eq!(status, 200);
+    assert!(body == long_body("r-1", 30 * MB));
+}
--- a/tests/grant_ledger.rs
+++ b/tests/grant_ledger.rs
@@ -4,11 +4,13 @@
 
 use std::time::{Duration, Instant};
 
+use hyper::{HeaderMap, body::Bytes};
 use jayreach::{
     decide::{fingerprint::Fingerprint, incarnation::EndpointId, quarantine::CrashRecord},
     proxy::{
+        body::Body,
         guard::ledger::{ActiveRun, GrantLedger, GrantStatus, GrantedWork},
-        message::{Grant, NotRunReason, RunEnd, UnknownReason},
+        message::{Grant, HttpContent, NotRunReason, RunEnd, UnknownReason},
     },
 };
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
@@ -246,3 +248,29 @@
     assert_eq!(ledger.status(&grant), GrantStatus::Unknown);
     assert!(ledger.is_empty());
 }
+
+/// Guards against answers that are dropped before their ingress got them, because others came after them.
+#[test]
+fn an_answer_is_kept_while_its_ingress_needs_it() {
+    let (now, mut ledger) = (Instant::now(), GrantLedger::new(1));
+    let body = Body::from(Bytes::from(vec![0; 24 << 20]));
+    let end = RunEnd::Answered {
+        status: 200,
+        content: HttpContent::new(&HeaderMap::new(), body),
+        took: Duration::from_millis(1),
+    };
+    let grants = [(); 3].map(|()| ledger.issue(endpoint(), work()));
+    for it in &grants {
+        ledger.end(it.id, end.clone(), now);
+    }
+
+    ledger.note_needed(&grants[0], now + Duration::from_secs(9));
+    ledger.free_memory(now + Duration::from_secs(4));
+    let early = grants.each_ref().map(|it| ledger.status(it));
+    ledger.free_memory(now + Duration::from_secs(10));
+    let late = grants.each_ref().map(|it| ledger.status(it));
+
+    let kept = GrantStatus::Ended(end);
+    assert_eq!(early, [&kept, &kept, &kept].map(Clone::clone));
+    assert_eq!(late, [kept, GrantStatus::Unknown, GrantStatus::Unknown]);
+}
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -292,6 +292,19 @@
     assert_eq!(settings.advertised, settings.peers);
 }
 
+#[rstest]
+#[case::missing("", Some(None))]
+#[case::a_fraction("memory_mb = 512.5\n", Some(Some(512_500_000)))]
+#[case::too_little("memory_mb = 90\n", None)]
+#[case::no_number("memory_mb = \"much\"\n", None)]
+fn the_memory_of_the_process_is_checked(#[case] line: &str, #[case] expected: Option<Option<usize>>) {
+    let text = filled_template() + line;
+
+    let settings = Settings::parse("boot.toml", &text);
+
+    assert_eq!(settings.ok().map(|it| it.memory_bytes), expected);
+}
+
 #[test]
 fn advertised_address_can_differ_from_listen_address() {
     let text = filled_template() + "advertised = \"192.0.2.7:7101\"\n";
