A long upload isn't refused for the time that it took

Callers saw: 503 "no free place in time" for a request whose body took longer to arrive than the route's target latency less the service time, though every endpoint was idle.

Cause: the latest start of a request was counted from its first byte.

Change: it is counted from its last byte. The deadline is still counted from the first.

Evidence: a_slow_upload_is_served (1 MB in 2.4 s, target latency 1 s) gets 503 on the code before and 200 now.

--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -94,6 +94,8 @@
     target: Box<str>,
     content: HttpContent,
     arrived: Instant,
+    /// When its last byte arrived.
+    complete_at: Instant,
     /// The deadline sent to endpoints: the caller's deadline or the route's timeout, whichever is earlier.
     work_deadline: Instant,
     /// The response is sent by then.
@@ -237,6 +239,7 @@
         target: target.into(),
         content: HttpContent::new(&forwarded_headers, body),
         arrived,
+        complete_at: clock::now(),
         work_deadline: caller_deadline.min(arrived + route.timeout),
         answer_deadline: caller_deadline.min(arrived + route.timeout + TIMEOUT_SLACK),
         attempts: Cell::new(0),
--- a/src/proxy/ingress/reserve.rs
+++ b/src/proxy/ingress/reserve.rs
@@ -175,7 +175,8 @@
             return self.open_run(req, req.arrived).latest_second_start(self.ingress_stop());
         }
         let timing = WorkTiming {
-            arrived: req.arrived,
+            // A long upload must not use up the time that the request may wait for an endpoint.
+            arrived: req.complete_at,
             target_latency: route.target_latency,
             deadline: self.answer_deadline(req),
             is_nested_call: req.is_nested_call(),
--- a/standins/tests/large_bodies.rs
+++ b/standins/tests/large_bodies.rs
@@ -160,6 +160,23 @@
     assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
 }
 
+/// Guards against uploads that are refused because they took longer than the request may wait for an endpoint.
+#[test]
+fn a_slow_upload_is_served() {
+    let site = start_site(1, false);
+    let body = long_body("upload", MB);
+    let encoded = request("POST /write/x", "r-1", &body).encode();
+    let mut stream = TcpStream::connect(site.proxies[1].callers).expect("the proxy accepts connections");
+
+    for part in encoded.chunks(encoded.len().div_ceil(30)) {
+        stream.write_all(part).expect("the proxy reads");
+        thread::sleep(Duration::from_millis(80));
+    }
+    let resp = http::read_message(&mut BufReader::new(stream)).expect("a response").expect("the connection is open");
+
+    assert_eq!(resp.status(), 200, "{}", String::from_utf8_lossy(&resp.body));
+}
+
 /// Guards against a bound on memory that rejects what the limits allow.
 #[rstest]
 #[case::through_another_proxy(1)]
