A stopping proxy completes the answers that are on their way

Callers saw: answers of 10 MB cut off 3.3 s after the SIGTERM to their proxy, of a grace of 6 s, though their endpoints had answered in full.

Cause: a request counted as open until its response was made, not until it was written. With none open, the process ended, and its connections with it.

Change: the count of a request goes with the body of its response and ends when the write buffer of the connection is empty. Responses to peers count until they are passed to their connections, which are then closed in order, for 0.3 s at most. A request that is still arriving when the final answers are due gets 503. The end of the grace and a second SIGTERM bound the stop as before.

--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -18,6 +18,7 @@
         events::Event,
         guard::{Announcement, AnnouncementEffect, EndpointPhase},
         ingress, net,
+        open_work::OpenExchanges,
         peer_link::Link,
         peer_server,
         routes::RequestLimits,
@@ -56,18 +57,23 @@
         let proxy = Rc::clone(self);
         let limits_proxy = Rc::clone(self);
         let limits = move || limits_proxy.config.borrow().as_ref().map_or_else(RequestLimits::default, |it| it.limits);
-        spawn_local(server::serve_http1(callers, limits, move |req| ingress::handle_request(Rc::clone(&proxy), req)));
+        let handle = move |req| ingress::handle_request(Rc::clone(&proxy), req);
+        spawn_local(server::serve_http1(callers, limits, self.caller_exchanges.clone(), handle));
         let proxy = Rc::clone(self);
-        spawn_local(server::serve_http2(peers, move |req| peer_server::handle(Rc::clone(&proxy), req)));
+        let handle = move |req| peer_server::handle(Rc::clone(&proxy), req);
+        let (connections, exchanges) = (self.peer_connections.clone(), self.peer_exchanges.clone());
+        spawn_local(server::serve_http2(peers, connections, exchanges, handle));
         let proxy = Rc::clone(self);
         let handle = move |req| handle_announcement(Rc::clone(&proxy), req);
-        spawn_local(server::serve_http1(announcements, RequestLimits::default, handle));
+        // A stop doesn't wait for the exchanges of these listeners.
+        let uncounted = OpenExchanges::default();
+        spawn_local(server::serve_http1(announcements, RequestLimits::default, uncounted.clone(), handle));
         let proxy = Rc::clone(self);
         let handle = move |_| std::future::ready(proxy.readiness());
-        spawn_local(server::serve_http1(readiness, RequestLimits::default, handle));
+        spawn_local(server::serve_http1(readiness, RequestLimits::default, uncounted.clone(), handle));
         let proxy = Rc::clone(self);
         let handle = move |req| std::future::ready(proxy.metrics_or_status(&req));
-        spawn_local(server::serve_http1(metrics, RequestLimits::default, handle));
+        spawn_local(server::serve_http1(metrics, RequestLimits::default, uncounted, handle));
         Ok(())
     }
 
@@ -144,7 +150,7 @@
             "row": row,
             "running": running,
             "waiting": waiting,
-            "requests": self.open_requests.get(),
+            "requests": self.caller_exchanges.count(),
             "watching": self.watching.get(),
             "confirmed_ms": self.confirmed_ms(),
             "peers": peers,
--- a/src/proxy/header_timeout.rs
+++ b/src/proxy/header_timeout.rs
@@ -1,9 +1,10 @@
 //! Header timeout on connections of callers: a header section that takes too long to arrive gets status 408.
 //!
-//! The time runs from the first byte of the header section, so idle keep-alive connections are not affected.
+//! The time runs from the first byte of the header section, so idle keep-alive connections are not affected. The stream
+//! also notices when a response has been written.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     pin::Pin,
     rc::Rc,
@@ -17,6 +18,8 @@
     time::{Instant, Sleep, sleep_until},
 };
 
+use crate::proxy::open_work::OpenExchange;
+
 /// Response to a header section that took too long. No part of the request has been forwarded.
 const REQUEST_TIMEOUT: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -27,28 +30,41 @@
     Idle,
     /// A header section has begun to arrive.
     Headers,
-    /// The header section is complete and the response is not ready yet.
+    /// The header section is complete, and the response isn't yet in the connection's write buffer.
     Serving,
 }
 
+#[derive(Debug)]
+struct ConnectionState {
+    phase: Cell<Phase>,
+    /// Exchanges whose responses are in the connection's write buffer.
+    unwritten: RefCell<Vec<OpenExchange>>,
+}
+
 /// Handle with which the HTTP service marks the beginning and the end of a request on its connection.
 #[derive(Debug, Clone)]
-pub(super) struct RequestPhase(Rc<Cell<Phase>>);
+pub(super) struct RequestPhase(Rc<ConnectionState>);
 
 impl RequestPhase {
-    /// Marks a request as being served until the returned value is dropped.
-    pub(super) fn serving(&self) -> ServedRequest {
-        self.0.set(Phase::Serving);
-        ServedRequest(self.clone())
+    /// Marks a request as being served until the returned value is dropped. Its exchange is open until the response is
+    /// written.
+    pub(super) fn serving(&self, exchange: OpenExchange) -> ServedRequest {
+        self.0.phase.set(Phase::Serving);
+        ServedRequest { connection: Rc::clone(&self.0), exchange: Some(exchange) }
     }
 }
 
 /// A request that is being served. Dropping it marks the connection as idle.
-pub(super) struct ServedRequest(RequestPhase);
+#[derive(Debug)]
+pub(super) struct ServedRequest {
+    connection: Rc<ConnectionState>,
+    exchange: Option<OpenExchange>,
+}
 
 impl Drop for ServedRequest {
     fn drop(&mut self) {
-        self.0.0.set(Phase::Idle);
+        self.connection.phase.set(Phase::Idle);
+        self.connection.unwritten.borrow_mut().extend(self.exchange.take());
     }
 }
 
@@ -56,7 +72,7 @@
 pub(super) struct HeaderTimeoutStream {
     stream: TcpStream,
     limit: Duration,
-    phase: Rc<Cell<Phase>>,
+    connection: Rc<ConnectionState>,
     /// Fires when the header section must be complete; valid in `Phase::Headers` only.
     timer: Pin<Box<Sleep>>,
 }
@@ -64,9 +80,9 @@
 impl HeaderTimeoutStream {
     /// Wraps `stream`; each header section may take `limit` from its first byte.
     pub(super) fn new(stream: TcpStream, limit: Duration) -> (Self, RequestPhase) {
-        let phase = Rc::new(Cell::new(Phase::Idle));
+        let connection = Rc::new(ConnectionState { phase: Cell::new(Phase::Idle), unwritten: RefCell::default() });
         let timer = Box::pin(sleep_until(Instant::now()));
-        (Self { stream, limit, phase: Rc::clone(&phase), timer }, RequestPhase(phase))
+        (Self { stream, limit, connection: Rc::clone(&connection), timer }, RequestPhase(connection))
     }
 }
 
@@ -75,14 +91,14 @@
         let filled_before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf)?;
         if read.is_ready() {
-            if self.phase.get() == Phase::Idle && buf.filled().len() > filled_before {
-                self.phase.set(Phase::Headers);
+            if self.connection.phase.get() == Phase::Idle && buf.filled().len() > filled_before {
+                self.connection.phase.set(Phase::Headers);
                 let deadline = Instant::now() + self.limit;
                 self.timer.as_mut().reset(deadline);
             }
             return Poll::Ready(Ok(()));
         }
-        if self.phase.get() == Phase::Headers {
+        if self.connection.phase.get() == Phase::Headers {
             ready!(self.timer.as_mut().poll(cx));
             // The connection is closed whether or not the response could be written.
             _ = Pin::new(&mut self.stream).poll_write(cx, REQUEST_TIMEOUT);
@@ -97,8 +113,13 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    /// Called when the write buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.connection.unwritten.borrow_mut().clear();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -211,7 +211,14 @@
     // Leaves the caller time to come back, and the request time to run.
     let max_wait = caller_timeout.min(route.timeout) / 2;
     let reading = body::read(body, config.limits.body_bytes, &proxy.body_memory.requests, max_wait);
-    let body = match timeout(config.limits.header_timeout.max(route.timeout), reading).await {
+    let reading = timeout(config.limits.header_timeout.max(route.timeout), reading);
+    let read = tokio::select! {
+        it = reading => it,
+        () = proxy.wait_for_answer_deadline() => {
+            return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0, Duration::ZERO);
+        }
+    };
+    let body = match read {
         Ok(Ok(it)) => it,
         Ok(Err(ReadError::TooLong)) => return rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long"),
         Ok(Err(ReadError::NoRoom)) => {
@@ -249,7 +256,6 @@
         route_index,
         config: Rc::clone(&config),
     };
-    let _open_request = proxy.count_request();
     let cancel_report = CancelReport { proxy: &proxy, req: &req, answered: Cell::new(false) };
     let request_outcome = tokio::select! {
         it = proxy.serve_request(&req) => it,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -23,6 +23,7 @@
 mod link_set;
 pub mod message;
 mod net;
+mod open_work;
 mod peer_link;
 mod peer_server;
 mod quarantine_sync;
@@ -69,8 +70,10 @@
         ingress::IngressState,
         link_set::RecentServices,
         net::AbortOnDropTask,
+        open_work::OpenExchanges,
         peer_link::Link,
         routes::{Config, Version},
+        server::PeerConnections,
         settings::Settings,
         stop::Signals,
         version_news::ConfigOffer,
@@ -129,8 +132,11 @@
     endpoint_reports: RefCell<EndpointReports>,
     /// Number of changes of the endpoint or its standing; sent as [`directory::ProxyStatus::revision`].
     endpoint_changes: Cell<u64>,
-    /// Number of caller requests without a response.
-    open_requests: Cell<usize>,
+    /// Requests of callers whose response isn't written yet.
+    caller_exchanges: OpenExchanges,
+    /// Calls of peers whose response isn't passed to its connection yet.
+    peer_exchanges: OpenExchanges,
+    peer_connections: PeerConnections,
     /// Set when SIGTERM or SIGINT is received.
     stop: Cell<Option<Shutdown>>,
     /// Notified when `stop` is set.
@@ -210,7 +216,9 @@
             ingress: RefCell::default(),
             endpoint_reports: RefCell::default(),
             endpoint_changes: Cell::new(0),
-            open_requests: Cell::new(0),
+            caller_exchanges: OpenExchanges::default(),
+            peer_exchanges: OpenExchanges::default(),
+            peer_connections: PeerConnections::default(),
             stop: Cell::new(None),
             stop_requested: Notify::new(),
             metrics: metrics_recorder()?,
@@ -277,12 +285,6 @@
     fn is_ready(&self) -> bool {
         !self.is_stopping() && !self.guard.endpoint_said_leaving() && self.config.borrow().is_some()
     }
-
-    /// Counts a request as open until the returned value is dropped.
-    fn count_request(self: &Rc<Self>) -> CountedRequest {
-        self.open_requests.set(self.open_requests.get() + 1);
-        CountedRequest(Rc::clone(self))
-    }
 }
 
 /// Directory entry of a proxy that has just started.
@@ -297,15 +299,6 @@
     }
 }
 
-/// A request that counts as open in `Proxy::open_requests` until this is dropped.
-struct CountedRequest(Rc<Proxy>);
-
-impl Drop for CountedRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
 fn metrics_recorder() -> Result<PrometheusHandle, Error> {
     let matcher = Matcher::Suffix("seconds".into());
     let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &BUCKETS);
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,6 +1,6 @@
 //! HTTP servers: HTTP/1.1 for callers, announcements, readiness and metrics; HTTP/2 for other proxies.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use hyper::{
     Request, Response, StatusCode,
@@ -12,12 +12,19 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
+    select,
+    sync::Notify,
     task::spawn_local,
     time::sleep,
 };
 
 use crate::proxy::{
-    body::OutBody, header_timeout::HeaderTimeoutStream, net, net::LocalExecutor, routes::RequestLimits,
+    body::OutBody,
+    header_timeout::HeaderTimeoutStream,
+    net,
+    net::LocalExecutor,
+    open_work::{OpenExchanges, ResponseBody},
+    routes::RequestLimits,
 };
 
 /// A response to a caller or to another proxy.
@@ -57,8 +64,13 @@
 }
 
 /// Serves HTTP/1.1 forever. When a caller closes its connection, the handler of its request is dropped.
-pub(super) async fn serve_http1<F, A>(listener: TcpListener, limits: impl Fn() -> RequestLimits + 'static, handle: F)
-where
+/// `exchanges` counts the requests until their responses are written.
+pub(super) async fn serve_http1<F, A>(
+    listener: TcpListener,
+    limits: impl Fn() -> RequestLimits + 'static,
+    exchanges: OpenExchanges,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = FullResponse> + 'static,
 {
@@ -67,14 +79,11 @@
         let handle = Rc::clone(&handle);
         let limits = limits();
         let (stream, request_phase) = HeaderTimeoutStream::new(stream, limits.header_timeout);
+        let exchanges = exchanges.clone();
         let service = service_fn(move |req| {
-            let serving = request_phase.serving();
+            let served = request_phase.serving(exchanges.begin());
             let resp = handle(req);
-            async move {
-                let resp = resp.await;
-                drop(serving);
-                Ok::<_, Infallible>(resp)
-            }
+            async move { Ok::<_, Infallible>(resp.await.map(|it| ResponseBody::new(it, served))) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -91,18 +100,65 @@
     .await;
 }
 
-/// Serves HTTP/2 to other proxies forever.
-pub(super) async fn serve_http2<F, A>(listener: TcpListener, handle: F)
-where
+/// The connections that other proxies have opened; clones share them.
+#[derive(Clone, Default)]
+pub(super) struct PeerConnections(Rc<PeerConnectionsState>);
+
+#[derive(Default)]
+struct PeerConnectionsState {
+    open: Cell<usize>,
+    is_closing: Cell<bool>,
+    /// Notified when one of the above changes.
+    changed: Notify,
+}
+
+impl PeerConnections {
+    /// Ends each connection as soon as its calls are answered and the responses written; returns when all have ended.
+    pub(super) async fn close(self) {
+        self.0.is_closing.set(true);
+        self.0.changed.notify_waiters();
+        self.wait_until(|it| it.open.get() == 0).await;
+    }
+
+    fn begin(&self) -> OpenPeerConnection {
+        self.0.open.set(self.0.open.get() + 1);
+        OpenPeerConnection(self.clone())
+    }
+
+    async fn wait_until(&self, is_reached: impl Fn(&PeerConnectionsState) -> bool) {
+        while !is_reached(&self.0) {
+            self.0.changed.notified().await;
+        }
+    }
+}
+
+/// A connection of another proxy, which counts as open until this is dropped.
+struct OpenPeerConnection(PeerConnections);
+
+impl Drop for OpenPeerConnection {
+    fn drop(&mut self) {
+        self.0.0.open.set(self.0.0.open.get() - 1);
+        self.0.0.changed.notify_waiters();
+    }
+}
+
+/// Serves HTTP/2 to other proxies forever. `exchanges` counts the responses until they are passed to their connections.
+pub(super) async fn serve_http2<F, A>(
+    listener: TcpListener,
+    connections: PeerConnections,
+    exchanges: OpenExchanges,
+    handle: F,
+) where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = FullResponse> + 'static,
 {
     let handle = Rc::new(handle);
     accept(listener, move |stream, from| {
         let handle = Rc::clone(&handle);
+        let exchanges = exchanges.clone();
         let service = service_fn(move |req| {
-            let resp = handle(req);
-            async move { Ok::<_, Infallible>(resp.await) }
+            let (resp, exchanges) = (handle(req), exchanges.clone());
+            async move { Ok::<_, Infallible>(resp.await.map(|it| ResponseBody::new(it, exchanges.begin()))) }
         });
         let connection = http2::Builder::new(LocalExecutor)
             .timer(TokioTimer::new())
@@ -113,8 +169,17 @@
             // Peers don't use the date header.
             .auto_date_header(false)
             .serve_connection(TokioIo::new(stream), service);
+        let open = connections.begin();
         spawn_local(async move {
-            if let Err(error) = connection.await {
+            let mut connection = pin!(connection);
+            let ended = select! {
+                it = &mut connection => it,
+                () = open.0.wait_until(|it| it.is_closing.get()) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
                 log::debug!("peer connection from {from} closed: {error}");
             }
         });
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -4,7 +4,7 @@
 
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    time::{interval, sleep},
+    time::{interval, sleep, timeout},
 };
 
 use crate::{
@@ -18,6 +18,8 @@
 
 /// How often the settings file is read again; it may change without a SIGHUP.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a stopping proxy waits until the last responses to peers are written; long ones have been fetched before.
+const PEER_FLUSH_TIME: Duration = Duration::from_millis(300);
 /// How often a stopping proxy checks whether its stage is over.
 const STAGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -94,6 +96,8 @@
             self.wait_for_stage(ShutdownStage::Done).await;
         };
         tokio::join!(removal, hand_over);
+        // Calls of peers that wait for something else than work here don't hold up the stop.
+        _ = timeout(PEER_FLUSH_TIME, self.peer_connections.clone().close()).await;
         self.log_stopping("done");
         // Gives the event writer time to write its last lines.
         sleep(Duration::from_millis(20)).await;
@@ -124,9 +128,9 @@
         self.events.emit(&Event::Stopping { why, running: self.work_in_progress() });
     }
 
-    /// Number of caller requests and of runs at the endpoint that have not ended.
+    /// Number of requests and responses, of callers and peers, and of runs at the endpoint that have not ended.
     fn work_in_progress(&self) -> usize {
-        self.open_requests.get() + self.guard.open_work()
+        self.caller_exchanges.count() + self.peer_exchanges.count() + self.guard.open_work()
     }
 
     /// Waits until this proxy is stopping and all its requests must have their responses.
