A caller that pauses gets its whole answer

Callers saw: a caller that read nothing for two seconds lost the rest of a long answer, whatever its deadline.

Cause: TCP_USER_TIMEOUT of 1.8 s, which is for paths that are cut, counts a closed window, too.

Change: on connections of callers it is the idle timeout of the configuration.

Evidence: a_caller_that_pauses_gets_its_whole_answer (20 MB, a pause of 4 s): reset by the proxy before, complete now.

--- a/src/proxy/net.rs
+++ b/src/proxy/net.rs
@@ -49,6 +49,11 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Sets how long the remote side may acknowledge nothing, or read nothing, before the connection is closed.
+pub(super) fn set_user_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
+}
+
 /// Runs hyper's connection tasks on the current thread.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LocalExecutor;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -78,6 +78,10 @@
     accept(listener, move |stream, from| {
         let handle = Rc::clone(&handle);
         let limits = limits();
+        // A caller that reads nothing for a while has a slow reader behind it; it may pause for as long as it may idle.
+        if let Err(error) = net::set_user_timeout(&stream, limits.idle_timeout) {
+            log::debug!("setting the timeout of the connection from {from}: {error}");
+        }
         let (stream, request_phase) = HeaderTimeoutStream::new(stream, limits.header_timeout);
         let exchanges = exchanges.clone();
         let service = service_fn(move |req| {
--- a/standins/tests/large_bodies.rs
+++ b/standins/tests/large_bodies.rs
@@ -253,6 +253,20 @@
     assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
 }
 
+/// Guards against an answer that is cut off because its caller pauses.
+#[test]
+fn a_caller_that_pauses_gets_its_whole_answer() {
+    let site = start_site(1, false);
+    site.proxies[0].endpoint.set_answer_len(20 * MB);
+    let stream = request("GET /read/x", "r-1", b"").send(site.proxies[1].callers).expect("the connection opens");
+
+    thread::sleep(Duration::from_secs(4));
+    let resp = http::read_message(&mut BufReader::new(stream));
+
+    let resp = resp.expect("a complete answer").expect("the connection is open");
+    assert!(resp.status() == 200 && resp.body == long_body("r-1", 20 * MB), "{}", resp.start_line);
+}
+
 /// Guards against an answer that is lost because the link to its guard breaks while its parts are fetched.
 #[test]
 fn an_answer_is_completed_after_its_link_broke() {
