An entry of another writer with any name ends no proxy

Callers saw: with an entry named with a space at the end of a page of the proxies' kind, every proxy aborted at its start and no request was served after a restart of all.

Cause: the name of a page's last entry went unescaped into the path of the next call, and a path that is no URI ended the process.

Change: names are percent-encoded in paths and queries.

--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, StatusCode, body::Bytes};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use super::store::{CALL_TIMEOUT, Consistency, Object, Page, Revision, Store, StoreFailure, decode_text};
+use super::store::{CALL_TIMEOUT, Consistency, Object, Page, Revision, Store, StoreFailure, decode_text, encode_name};
 use crate::{
     decide::{fingerprint::Fingerprint, quarantine::CrashRecord},
     proxy::directory::ProxyName,
@@ -160,7 +160,7 @@
     /// See [`StoreFailure`]. The store may then have counted the trial; it must not be run.
     pub async fn claim_trial(&self, known: &QuarantineObject) -> Result<TrialClaim, StoreFailure> {
         let name = known.name();
-        let path = format!("/objects/{}/{name}", QuarantineObject::KIND);
+        let path = format!("/objects/{}/{}", QuarantineObject::KIND, encode_name(&name));
         let (status, body) = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
         let next = QuarantineObject { crash_record: known.crash_record.with_trial(), ..known.clone() };
         if status == StatusCode::NOT_FOUND {
@@ -194,7 +194,7 @@
         let mut list = Listing { objects: Vec::new(), skipped: Vec::new() };
         let mut after: Option<Box<str>> = None;
         loop {
-            let after_param = after.as_ref().map_or_else(String::new, |it| format!("&after={it}"));
+            let after_param = after.as_ref().map_or_else(String::new, |it| format!("&after={}", encode_name(it)));
             let path = format!("/objects/{}?{}{after_param}", T::KIND, consistency.query());
             let (status, body) = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
             if status != StatusCode::OK {
@@ -227,7 +227,7 @@
         if status != StatusCode::CONFLICT {
             return check_status(status);
         }
-        let path = format!("/objects/{}/{}", T::KIND, spec.name());
+        let path = format!("/objects/{}/{}", T::KIND, encode_name(&spec.name()));
         let (status, _) = self.call(Method::PUT, &path, encode(spec, None)?, CALL_TIMEOUT).await?;
         check_status(status)
     }
@@ -238,7 +238,7 @@
     }
 
     async fn remove<T: StoreObject>(&self, name: &str) -> Result<(), StoreFailure> {
-        let path = format!("/objects/{}/{name}", T::KIND);
+        let path = format!("/objects/{}/{}", T::KIND, encode_name(name));
         let (status, _) = self.call(Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await?;
         if status == StatusCode::NOT_FOUND { Ok(()) } else { check_status(status) }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,6 +3,7 @@
 use std::{borrow::Cow, cell::Cell, net::SocketAddr, time::Duration};
 
 use hyper::{Method, StatusCode, body::Bytes, header::HeaderName};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use thiserror::Error;
@@ -233,6 +234,12 @@
     }
 }
 
+/// Encodes the name of an object, which another writer may have chosen, for a path or a query.
+pub(super) fn encode_name(name: &str) -> PercentEncode<'_> {
+    const ENCODED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+    utf8_percent_encode(name, ENCODED)
+}
+
 /// Decodes a response as UTF-8. Invalid bytes are replaced, so that they affect only the object that contains them.
 pub(super) fn decode_text(body: &[u8]) -> Cow<'_, str> {
     String::from_utf8_lossy(body)
