A warm-up of any length ends no proxy

Callers saw: a ping with a warm-up of 1e19 seconds ended its proxy.

Cause: the end of the warm-up overflows the clock.

Change: a warm-up counts as an hour at most.

Evidence: the case "huge" of a_warm_up_ends_at_a_time_that_can_be_computed failed before and passes now.

--- a/src/platform/announce.rs
+++ b/src/platform/announce.rs
@@ -49,6 +49,9 @@
     born: Option<UnixMillis>,
 }
 
+/// A longer warm-up counts as this long, so that its end is a time that can be computed with.
+const MAX_WARMUP: Duration = Duration::from_secs(3_600);
+
 /// The body of a deregistration; all other fields are ignored.
 #[derive(Debug, Default, Deserialize)]
 struct Deregistration {
@@ -80,7 +83,7 @@
         address: heartbeat.address,
         slots: heartbeat.slots,
         phase,
-        warmup_left: Duration::try_from_secs_f64(heartbeat.warmup_left_s).unwrap_or_default(),
+        warmup_left: Duration::try_from_secs_f64(heartbeat.warmup_left_s).unwrap_or_default().min(MAX_WARMUP),
         sequence: heartbeat.sequence,
     })
 }
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -155,6 +155,22 @@
     assert_eq!((heartbeat.phase, heartbeat.warmup_left), (EndpointPhase::Leaving, Duration::from_millis(1_500)));
 }
 
+/// Guards against a warm-up whose end overflows the clock and ends the process.
+#[rstest]
+#[case::huge("1e19", Duration::from_secs(3_600))]
+#[case::beyond_all_durations("1e300", Duration::ZERO)]
+#[case::negative("-1", Duration::ZERO)]
+fn a_warm_up_ends_at_a_time_that_can_be_computed(#[case] seconds: &str, #[case] expected: Duration) {
+    let body = format!(
+        "{{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"slots\":4,\"state\":\"ready\",\
+         \"warmup_left_s\":{seconds},\"sequence\":9}}"
+    );
+
+    let heartbeat = parse_heartbeat("i-1", body.as_bytes(), NOW).expect("valid heartbeat");
+
+    assert_eq!(heartbeat.warmup_left, expected);
+}
+
 #[rstest]
 #[case::absent("")]
 #[case::fraction(",\"born\":1764700000000.5")]
