Each announcement tells how long an endpoint still warms up

Callers saw: 502 for a request whose second run went to an endpoint that had just started.

Cause: a health check, by which an endpoint may be found, doesn't tell its warm-up, and later announcements of the same incarnation didn't change what was known.

Change: each announcement sets the end of the warm-up.

--- a/src/proxy/guard/announcements.rs
+++ b/src/proxy/guard/announcements.rs
@@ -63,6 +63,8 @@
         known.last_seen = clock::now();
         known.announcement.sequence = it.sequence;
         known.announcement.slots = it.slots;
+        // A health check, by which the endpoint may have been found, doesn't tell whether it warms up.
+        known.warmup_until = clock::now() + it.warmup_left;
         known.said_leaving |= it.phase == EndpointPhase::Leaving;
         let start_time_added = known.announcement.id.started_at.is_none() && it.id.started_at.is_some();
         if start_time_added {
