--- a/src/proxy/body_memory.rs
+++ b/src/proxy/body_memory.rs
@@ -125,6 +125,7 @@
 
 struct Shared {
     state: Mutex<PoolState>,
+    /// Notified when a body begins to wait.
     wanted: Notify,
 }
 
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -67,7 +67,8 @@
     ///
     /// Dropping the future cancels an idempotent request. Any other request keeps running, and its end is remembered.
     pub(in crate::proxy) async fn run(self: &Rc<Self>, run: RunRequest, upload: Option<Upload>) -> RunEnd {
-        let Some((pool, idempotent, thresholds)) = self.start_run(&run) else {
+        let is_whole = run.content.left == 0 || upload.is_some();
+        let Some((pool, idempotent, thresholds)) = is_whole.then(|| self.start_run(&run)).flatten() else {
             return RunEnd::NotRun(NotRunReason::NoGrant);
         };
         let grant = run.grant.clone();
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -51,7 +51,7 @@
 const RETRY_AFTER_BASE: Duration = Duration::from_millis(600);
 /// The `Retry-After` of a quarantined request without trials left: an operator must look at it.
 const RETRY_AFTER_TRIALS_USED_UP: Duration = Duration::from_secs(3_600);
-/// The least `Retry-After` of a request for whose body there was no memory: long uploads take about this.
+/// The least `Retry-After` of a request for whose body there was no memory.
 const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
 /// How long the rest of a refused request's body is read and dropped, so that its sender gets to read the response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -176,6 +176,7 @@
     resp
 }
 
+/// Reads the body of a request as far as needed, and returns the response.
 async fn serve(proxy: Rc<Proxy>, head: Parts, body: &mut Incoming) -> FullResponse {
     let arrived = clock::now();
     let id: Box<str> = platform::request_id(&head.headers).unwrap_or("").into();
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -78,7 +78,7 @@
     accept(listener, move |stream, from| {
         let handle = Rc::clone(&handle);
         let limits = limits();
-        // A caller that reads nothing for a while has a slow reader behind it; it may pause for as long as it may idle.
+        // A caller may stop reading a response for as long as its connection may be idle.
         if let Err(error) = net::set_user_timeout(&stream, limits.idle_timeout) {
             log::debug!("setting the timeout of the connection from {from}: {error}");
         }
