A run that waits for its ingress doesn't make its endpoint look slow

Callers would have seen, since requests pass their guard as they come: 503 while an endpoint is idle, as long uploads over a slow link had made it suspect.

Cause: the time in which the guard waited for the next part of a body, or for memory for an answer, counted as the endpoint's.

Change: it is measured and taken off, from what is overdue, from failures that are judged by their time, and from the mean service time.

--- a/src/proxy/body.rs
+++ b/src/proxy/body.rs
@@ -8,7 +8,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use http_body_util::BodyExt as _;
@@ -18,7 +18,10 @@
 use thiserror::Error;
 use tokio::{sync::mpsc, time::timeout};
 
-use crate::proxy::body_memory::{BodyRoom, GrowingBody, NoRoom, Room, SMALL_BODY};
+use crate::proxy::{
+    body_memory::{BodyRoom, GrowingBody, NoRoom, Room, SMALL_BODY},
+    clock,
+};
 
 /// The length of all segments of a long body but the last, in bytes.
 pub(super) const SEGMENT: usize = 256 << 10;
@@ -146,26 +149,55 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes. Memory is taken before the bytes are read; `max_wait` bounds each wait for it.
+/// The time that a run waits for its ingress or for memory, which says nothing about its endpoint.
+#[derive(Debug, Default)]
+pub(super) struct OwnWait {
+    /// Without the wait since `since`.
+    total: Cell<Duration>,
+    /// When the current wait began.
+    since: Cell<Option<Instant>>,
+}
+
+impl OwnWait {
+    fn begin(&self) {
+        self.since.set(self.since.get().or(Some(clock::now())));
+    }
+
+    fn end(&self) {
+        self.total.set(self.total());
+        self.since.set(None);
+    }
+
+    /// The time so far.
+    pub(super) fn total(&self) -> Duration {
+        let current = self.since.get().map(|it| clock::now().saturating_duration_since(it));
+        self.total.get() + current.unwrap_or_default()
+    }
+}
+
+/// Reads a body of at most `limit` bytes. Memory is taken before the bytes are read; `max_wait` bounds each wait for it,
+/// which is added to `own_wait`.
 pub(super) async fn read(
     body: &mut Incoming,
     limit: usize,
     room: &BodyRoom,
     max_wait: Duration,
+    own_wait: &OwnWait,
 ) -> Result<Body, ReadError> {
     let length = body.size_hint().exact().map(|it| usize::try_from(it).unwrap_or(usize::MAX));
     let limit = limit.min(room.max_body());
     let first_room = match length {
         Some(0) => return Ok(Body::default()),
         Some(it) if it > limit => return Err(ReadError::TooLong),
-        Some(it) if it <= SMALL_BODY => within(max_wait, room.take_small(it)).await?,
-        Some(it) => within(max_wait, room.large.take(it)).await?,
-        None => within(max_wait, room.take_small(SMALL_BODY)).await?,
+        Some(it) if it <= SMALL_BODY => wait_for(room.take_small(it), max_wait, own_wait).await?,
+        Some(it) => wait_for(room.large.take(it), max_wait, own_wait).await?,
+        None => wait_for(room.take_small(SMALL_BODY), max_wait, own_wait).await?,
     };
     let mut reader = BodyReader {
         room,
         limit,
         max_wait,
+        own_wait,
         unused: first_room,
         growing: None,
         segments: Vec::new(),
@@ -180,8 +212,15 @@
     Ok(reader.finish())
 }
 
-async fn within(max_wait: Duration, room: impl Future<Output = Result<Room, NoRoom>>) -> Result<Room, NoRoom> {
-    timeout(max_wait, room).await.unwrap_or(Err(NoRoom))
+async fn wait_for(
+    room: impl Future<Output = Result<Room, NoRoom>>,
+    max_wait: Duration,
+    own_wait: &OwnWait,
+) -> Result<Room, NoRoom> {
+    own_wait.begin();
+    let room = timeout(max_wait, room).await.unwrap_or(Err(NoRoom));
+    own_wait.end();
+    room
 }
 
 /// Copies a body into segments, so that the buffers of its connection are free again.
@@ -189,6 +228,7 @@
     room: &'a BodyRoom,
     limit: usize,
     max_wait: Duration,
+    own_wait: &'a OwnWait,
     /// Room that no segment has yet.
     unused: Room,
     /// Set once a body of unknown length has outgrown its first room.
@@ -224,7 +264,7 @@
     async fn next_segment(&mut self) -> Result<(Vec<u8>, Room), ReadError> {
         if self.unused.bytes() == 0 {
             let growing = self.growing.get_or_insert_with(|| self.room.large.begin_growing());
-            self.unused = within(self.max_wait, growing.grow(SEGMENT)).await?;
+            self.unused = wait_for(growing.grow(SEGMENT), self.max_wait, self.own_wait).await?;
         }
         let room = self.unused.split(self.unused.bytes().min(SEGMENT));
         Ok((Vec::with_capacity(room.bytes()), room))
@@ -246,12 +286,18 @@
     rest: Incoming,
     left: usize,
     broke_off: Rc<Cell<bool>>,
+    own_wait: Rc<OwnWait>,
 }
 
 impl Upload {
     /// A body of `len` bytes that begins with `first`.
     pub(super) fn new(first: Bytes, rest: Incoming, len: usize) -> Self {
-        Self { first, rest, left: len, broke_off: Rc::default() }
+        Self { first, rest, left: len, broke_off: Rc::default(), own_wait: Rc::default() }
+    }
+
+    /// The time that the sender had nothing to pass on.
+    pub(super) fn own_wait(&self) -> Rc<OwnWait> {
+        Rc::clone(&self.own_wait)
     }
 
     /// Becomes true when the sender ends before the body is complete.
@@ -261,7 +307,10 @@
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BoxError>>> {
         while self.first.is_empty() && self.left > 0 {
-            match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
+            self.own_wait.begin();
+            let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+            self.own_wait.end();
+            match frame {
                 Some(Ok(frame)) => self.first = frame.into_data().unwrap_or_default(),
                 Some(Err(error)) => {
                     self.broke_off.set(true);
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -19,7 +19,7 @@
     decide::rate_limit::LimitStatement,
     platform,
     proxy::{
-        body::{self, OutBody},
+        body::{self, OutBody, OwnWait},
         body_memory::BodyRoom,
         client::{self, CallError, Connection},
         headers,
@@ -103,13 +103,15 @@
         Self { address, idle: RefCell::default(), last_probe: Mutex::default() }
     }
 
-    /// Sends a request and classifies the response, whose body is held in `room`. Calls `on_notice` as soon as the headers
+    /// Sends a request and classifies the response, whose body is held in `room`; waits for that are added to `own_wait`.
+    /// Calls `on_notice` as soon as the headers
     /// of the response are there, since its body may break off. Dropping the future closes the connection, by which the
     /// endpoint notices that the request is cancelled.
     pub(super) async fn run(
         &self,
         req: EndpointRequest,
         room: &BodyRoom,
+        own_wait: &OwnWait,
         on_notice: impl Fn(EndpointNotice),
     ) -> RunEnd {
         let limit = req.time_left + RESPONSE_GRACE;
@@ -117,7 +119,7 @@
             OutBody::Upload(it) => it.broke_off(),
             OutBody::Held { .. } | OutBody::Parts { .. } => Rc::default(),
         };
-        match timeout(limit, self.exchange(req, room, on_notice)).await {
+        match timeout(limit, self.exchange(req, room, own_wait, on_notice)).await {
             // The ingress ended the request, which says nothing about the endpoint.
             Ok(RunEnd::Unknown(UnknownReason::Broken)) if upload_broke_off.get() => {
                 RunEnd::Unknown(UnknownReason::GuardStateLost)
@@ -155,7 +157,13 @@
         ended
     }
 
-    async fn exchange(&self, mut req: EndpointRequest, room: &BodyRoom, on_notice: impl Fn(EndpointNotice)) -> RunEnd {
+    async fn exchange(
+        &self,
+        mut req: EndpointRequest,
+        room: &BodyRoom,
+        own_wait: &OwnWait,
+        on_notice: impl Fn(EndpointNotice),
+    ) -> RunEnd {
         let start = Instant::now();
         let body = mem::replace(&mut req.body, Bytes::new().into());
         let mut hyper_req = self.hyper_request(&req, body);
@@ -184,7 +192,7 @@
                     if let Some(it) = EndpointNotice::from_answer(resp.status(), resp.headers(), &req.request_id) {
                         on_notice(it);
                     }
-                    return self.classify_response(&req, room, connection, resp, start).await;
+                    return self.classify_response(&req, room, own_wait, connection, resp, start).await;
                 }
                 Err(mut error) => match error.take_message() {
                     // Nothing was sent yet, so the request can be sent on another connection.
@@ -218,13 +226,14 @@
         &self,
         req: &EndpointRequest,
         room: &BodyRoom,
+        own_wait: &OwnWait,
         connection: Connection,
         resp: Response<Incoming>,
         start: Instant,
     ) -> RunEnd {
         let (head, mut body) = resp.into_parts();
         // The deadline of the request bounds the wait for memory.
-        let body = match body::read(&mut body, client::MAX_RESPONSE_BYTES, room, Duration::MAX).await {
+        let body = match body::read(&mut body, client::MAX_RESPONSE_BYTES, room, Duration::MAX, own_wait).await {
             Ok(it) => it,
             Err(error) => {
                 log::debug!("request {}: {error}", req.request_id);
@@ -249,7 +258,11 @@
         }
         self.put_idle(connection, &head.headers);
         let content = HttpContent::new(&headers::end_to_end(&head.headers), body);
-        RunEnd::Answered { status: head.status.as_u16(), content, took: start.elapsed() }
+        RunEnd::Answered {
+            status: head.status.as_u16(),
+            content,
+            took: start.elapsed().saturating_sub(own_wait.total()),
+        }
     }
 
     fn take_idle(&self) -> Option<Connection> {
--- a/src/proxy/guard/runs.rs
+++ b/src/proxy/guard/runs.rs
@@ -155,6 +155,7 @@
             }
         }
         *head.headers_mut() = content.headers();
+        let own_wait = upload.as_ref().map(Upload::own_wait).unwrap_or_default();
         let body = upload.map_or_else(|| OutBody::from(&content.body), OutBody::Upload);
         let req = EndpointRequest {
             request_id: request_id.clone(),
@@ -164,20 +165,22 @@
             time_left,
         };
         let start = clock::now();
-        let exchange =
-            pool.run(req, &self.body_memory.answers, |it| self.handle_notice(&grant.endpoint, it, &request_id, start));
+        let on_notice = |it| self.handle_notice(&grant.endpoint, it, &request_id, start);
+        let exchange = pool.run(req, &self.body_memory.answers, &own_wait, on_notice);
         tokio::pin!(exchange);
         let end = 'end: {
             for (after, sample, why) in thresholds.in_order() {
-                let wait = (start + after).saturating_duration_since(clock::now());
-                if let Ok(it) = timeout(wait, &mut exchange).await {
-                    break 'end it;
+                let left = || (start + after + own_wait.total()).saturating_duration_since(clock::now());
+                while !left().is_zero() {
+                    if let Ok(it) = timeout(left(), &mut exchange).await {
+                        break 'end it;
+                    }
                 }
                 self.record_sample(&grant.endpoint, sample, start, &request_id, why);
             }
             exchange.await
         };
-        self.record_outcome(&grant, &end, &request_id, start, time_left);
+        self.record_outcome(&grant, &end, &request_id, start, own_wait.total(), time_left);
         self.end_grant(grant.id, end.clone());
         end
     }
@@ -189,20 +192,22 @@
         end: &RunEnd,
         request_id: &str,
         started_at: Instant,
+        own_wait: Duration,
         run_timeout: Duration,
     ) {
         /// A 504 that arrives this close to the deadline means that the request ran out of time.
         const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
         let took = clock::now().saturating_duration_since(started_at);
+        let worked = took.saturating_sub(own_wait);
         let state = self.state.borrow();
         let Some(entry) = state.ledger.entry(grant.id) else { return };
         let (route, fingerprint) = (entry.work.route.clone(), entry.work.fingerprint);
-        let failure_sample = AnswerSample::from_failure(took, state.service_times.mean(&route));
+        let failure_sample = AnswerSample::from_failure(worked, state.service_times.mean(&route));
         drop(state);
         let (sample, why) = match end {
             RunEnd::Answered { status, .. } if *status < 500 => {
                 self.add_success_evidence(fingerprint);
-                self.state.borrow_mut().service_times.record(&route, took);
+                self.state.borrow_mut().service_times.record(&route, worked);
                 (AnswerSample::Good, "answered")
             }
             RunEnd::Answered { status: 504, .. } if took + DEADLINE_MARGIN >= run_timeout => return,
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -29,7 +29,7 @@
     platform,
     proxy::{
         Proxy,
-        body::{self, ReadError},
+        body::{self, OwnWait, ReadError},
         clock,
         directory::ProxyName,
         endpoint::EndpointNotice,
@@ -211,7 +211,8 @@
     let caller_timeout = platform::deadline(&head.headers).unwrap_or(route.timeout);
     // Leaves the caller time to come back, and the request time to run.
     let max_wait = caller_timeout.min(route.timeout) / 2;
-    let reading = body::read(body, config.limits.body_bytes, &proxy.body_memory.requests, max_wait);
+    let (requests, own_wait) = (&proxy.body_memory.requests, OwnWait::default());
+    let reading = body::read(body, config.limits.body_bytes, requests, max_wait, &own_wait);
     let reading = timeout(config.limits.header_timeout.max(route.timeout), reading);
     let read = tokio::select! {
         it = reading => it,
--- a/standins/tests/large_bodies.rs
+++ b/standins/tests/large_bodies.rs
@@ -10,12 +10,15 @@
 
 use rstest::rstest;
 use serde_json::json;
-use standins::platform::{
-    caller::CallerRequest,
-    endpoint::long_body,
-    fixtures::{run_count, two_routes},
-    http::{self, Message},
-    site::{HOST, Proxy, Site, eventually},
+use standins::{
+    platform::{
+        caller::CallerRequest,
+        endpoint::long_body,
+        fixtures::{run_count, two_routes},
+        http::{self, Message},
+        site::{HOST, Proxy, Site, eventually},
+    },
+    relay::Impairment,
 };
 
 const MB: usize = 1_000_000;
@@ -160,6 +163,32 @@
     assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
 }
 
+/// Guards against uploads over a slow link that make their endpoint look slow.
+#[test]
+fn slow_uploads_leave_the_standing_of_their_endpoint() {
+    let site = start_site(1, true);
+    for it in 0..20 {
+        let resp = request("POST /write/x", &format!("short-{it}"), b"").send_and_read(site.proxies[1].callers);
+        assert_eq!(resp.expect("the proxy responds").status(), 200);
+    }
+    // About two megabytes a second.
+    let relays = site.proxies[0].relays.clone().expect("the site has relays");
+    relays.peers.set_impairment(Impairment::Delayed(Duration::from_millis(2)));
+    let body = long_body("upload", 2 * MB);
+
+    let statuses: Vec<_> = thread::scope(|scope| {
+        let (site, body) = (&site, &body);
+        let send = move |it| request("POST /write/x", &format!("r-{it}"), body).send_and_read(site.proxies[1].callers);
+        let callers: Vec<_> = (0..4).map(|it| scope.spawn(move || send(it))).collect();
+        let answers = callers.into_iter().map(|it| it.join().expect("the caller thread does not panic"));
+        answers.map(|it| it.map(|it| it.status()).map_err(|it| it.kind())).collect()
+    });
+
+    let events: Vec<_> = site.proxies[0].events().into_iter().filter(|it| it["event"] == "standing").collect();
+    assert_eq!(statuses, [Ok(200); 4]);
+    assert!(events.is_empty(), "{events:?}");
+}
+
 /// Guards against memory that is kept for the answers of many requests at once, so that some are refused.
 #[test]
 fn many_requests_at_once_are_served() {
