A body that fits doesn't wait behind one that must wait

Callers saw: an upload of 1 MB took 3.1 s, or would have got 503 after half of its time, while the memory for bodies was almost empty.

Cause: the pool has each call of `ask` followed by `next_granted`, and the only caller didn't do that. A body that asked while another one waited stayed in the queue until some third body gave room back, though it fitted.

Change: `ask` goes through the same function as all other changes of the pool, which hands out what room there is.

--- a/src/proxy/body_memory.rs
+++ b/src/proxy/body_memory.rs
@@ -183,19 +183,16 @@
 
     fn ask(&self, id: BodyId, bytes: usize, length: BodyLength) -> impl Future<Output = Result<Room, NoRoom>> + use<> {
         let (tx, rx) = oneshot::channel();
-        let mut state = lock(&self.0.state);
-        let result = state.pool.ask(id, bytes, length);
-        match result {
-            RoomResult::Granted => {
-                state.note_peak();
-                // The receiver exists.
-                _ = tx.send(Room { pool: self.clone(), bytes });
+        let mut turn = None;
+        self.update(|state| match state.pool.ask(id, bytes, length) {
+            // The receiver exists.
+            RoomResult::Granted => _ = tx.send(Room { pool: self.clone(), bytes }),
+            RoomResult::Waiting => {
+                state.waiters.push((id, bytes, tx));
+                turn = Some(WaitingTurn { pool: self.clone(), id });
             }
-            RoomResult::Waiting => state.waiters.push((id, bytes, tx)),
             RoomResult::Refused => state.refused += 1,
-        }
-        drop(state);
-        let turn = (result == RoomResult::Waiting).then(|| WaitingTurn { pool: self.clone(), id });
+        });
         if turn.is_some() {
             self.0.wanted.notify_one();
         }
@@ -206,10 +203,10 @@
     }
 
     /// Changes the pool and hands out the room that this leaves.
-    fn update(&self, change: impl FnOnce(&mut BodyPool)) {
+    fn update(&self, change: impl FnOnce(&mut PoolState)) {
         let mut granted = Vec::new();
         let mut state = lock(&self.0.state);
-        change(&mut state.pool);
+        change(&mut state);
         while let Some(id) = state.pool.next_granted() {
             if let Some(at) = state.waiters.iter().position(|it| it.0 == id) {
                 granted.push(state.waiters.swap_remove(at));
@@ -247,8 +244,10 @@
 
 impl Drop for WaitingTurn {
     fn drop(&mut self) {
-        lock(&self.pool.0.state).waiters.retain(|it| it.0 != self.id);
-        self.pool.update(|it| it.cancel(self.id));
+        self.pool.update(|it| {
+            it.waiters.retain(|it| it.0 != self.id);
+            it.pool.cancel(self.id);
+        });
     }
 }
 
@@ -267,7 +266,7 @@
 
 impl Drop for GrowingBody {
     fn drop(&mut self) {
-        self.pool.update(|it| it.finish(self.id));
+        self.pool.update(|it| it.pool.finish(self.id));
     }
 }
 
@@ -302,7 +301,7 @@
 impl Drop for Room {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.pool.update(|it| it.release(self.bytes));
+            self.pool.update(|it| it.pool.release(self.bytes));
         }
     }
 }
--- a/standins/tests/large_bodies.rs
+++ b/standins/tests/large_bodies.rs
@@ -5,7 +5,7 @@
     net::TcpStream,
     sync::atomic::{AtomicBool, AtomicU32, Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rstest::rstest;
@@ -51,14 +51,7 @@
 
 /// Sends a request whose body has no length but comes in chunks.
 fn send_chunked(proxy: &Proxy, request_id: &str, body: &[u8]) -> io::Result<Message> {
-    let mut stream = TcpStream::connect(proxy.callers)?;
-    stream.set_read_timeout(Some(DEADLINE))?;
-    let deadline = DEADLINE.as_millis();
-    write!(
-        stream,
-        "POST /write/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline}\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    )?;
+    let mut stream = begin_chunked(proxy, request_id);
     for part in body.chunks(50_000) {
         write!(stream, "{:x}\r\n", part.len())?;
         stream.write_all(part)?;
@@ -163,6 +156,51 @@
     assert!(peaks(&site).iter().all(|it| *it < MEMORY_MB), "{:?}", peaks(&site));
 }
 
+/// Sends the head and the beginning of a request whose body comes in chunks; the chunks are left to the caller.
+fn begin_chunked(proxy: &Proxy, request_id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(proxy.callers).expect("the proxy accepts connections");
+    stream.set_read_timeout(Some(DEADLINE)).expect("a time limit can be set");
+    let deadline = DEADLINE.as_millis();
+    write!(
+        stream,
+        "POST /write/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+    .expect("the proxy reads");
+    stream
+}
+
+/// Guards against a body that fits but waits behind one that must wait for another to be complete.
+#[test]
+fn a_body_that_fits_is_not_held_up_by_one_that_waits() {
+    let site = start_site(1, false);
+    let proxy = &site.proxies[1];
+
+    let (took, status, others) = thread::scope(|scope| {
+        // The oldest growing body, which comes slowly; the room that it may still need is kept for it.
+        let slow = scope.spawn(|| {
+            let mut stream = begin_chunked(proxy, "slow");
+            for _ in 0..50 {
+                write!(stream, "{:x}\r\n{}\r\n", 10_000, "x".repeat(10_000)).expect("the proxy reads");
+                thread::sleep(Duration::from_millis(100));
+            }
+            stream.write_all(b"0\r\n\r\n").expect("the proxy reads");
+            http::read_message(&mut BufReader::new(stream)).expect("a response").expect("a response").status()
+        });
+        thread::sleep(Duration::from_millis(1_200));
+        let waiting = scope.spawn(|| send_chunked(proxy, "waiting", &vec![0; 12 * MB]).expect("a response").status());
+        thread::sleep(Duration::from_millis(800));
+        let start = Instant::now();
+        let resp = request("POST /write/x", "fits", &vec![0; MB]).send_and_read(proxy.callers);
+        let took = start.elapsed();
+        let others = [slow, waiting].map(|it| it.join().expect("the caller thread does not panic"));
+        (took, resp.map(|it| it.status()).map_err(|it| it.kind()), others)
+    });
+
+    assert_eq!((status, others), (Ok(200), [200, 200]));
+    assert!(took < Duration::from_secs(1), "it took {took:?}");
+}
+
 /// Guards against uploads over a slow link that make their endpoint look slow.
 #[test]
 fn slow_uploads_leave_the_standing_of_their_endpoint() {
