--- a/src/proxy/body.rs
+++ b/src/proxy/body.rs
@@ -295,7 +295,7 @@
         Self { first, rest, left: len, broke_off: Rc::default(), own_wait: Rc::default() }
     }
 
-    /// The time that the sender had nothing to pass on.
+    /// Counts the time in which the next part hasn't come from the sender.
     pub(super) fn own_wait(&self) -> Rc<OwnWait> {
         Rc::clone(&self.own_wait)
     }
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -103,10 +103,9 @@
         Self { address, idle: RefCell::default(), last_probe: Mutex::default() }
     }
 
-    /// Sends a request and classifies the response, whose body is held in `room`; waits for that are added to `own_wait`.
-    /// Calls `on_notice` as soon as the headers
-    /// of the response are there, since its body may break off. Dropping the future closes the connection, by which the
-    /// endpoint notices that the request is cancelled.
+    /// Sends a request and classifies the response, whose body is held in `room`; waits for room are added to
+    /// `own_wait`. Calls `on_notice` as soon as the headers of the response are there, since its body may break off.
+    /// Dropping the future closes the connection, by which the endpoint notices that the request is cancelled.
     pub(super) async fn run(
         &self,
         req: EndpointRequest,
--- a/src/proxy/guard/ledger.rs
+++ b/src/proxy/guard/ledger.rs
@@ -88,7 +88,6 @@
 struct EndedGrant {
     id: GrantId,
     end: RunEnd,
-    ended_at: Instant,
     /// When its ingress last asked for it; at first, when it ended.
     needed_at: Instant,
     /// Whether the ingress has to fetch a part of the answer.
@@ -215,7 +214,7 @@
         let entry = self.entries.swap_remove(at);
         let is_partial = entry.active_run.as_ref().is_some_and(|it| end.body_len() > it.first_part);
         if !entry.work.idempotent || end == RunEnd::NotRun(NotRunReason::NoGrant) || is_partial {
-            self.ended.push(EndedGrant { id, end, ended_at: now, needed_at: now, is_partial });
+            self.ended.push(EndedGrant { id, end, needed_at: now, is_partial });
         }
         self.forget_old(now);
         Some(entry)
@@ -223,7 +222,7 @@
 
     /// Forgets the ends that no ingress asks for any more.
     pub fn forget_old(&mut self, now: Instant) {
-        self.ended.retain(|it| now.saturating_duration_since(it.needed_at.max(it.ended_at)) < ENDED_TTL);
+        self.ended.retain(|it| now.saturating_duration_since(it.needed_at) < ENDED_TTL);
         let excess = self.ended.len().saturating_sub(MAX_ENDED);
         self.ended.drain(..excess);
     }
--- a/src/proxy/header_timeout.rs
+++ b/src/proxy/header_timeout.rs
@@ -113,7 +113,7 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    /// Called when the write buffer is empty.
+    /// `hyper` calls this once its write buffer is empty, so all responses in it are written then.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         if matches!(flushed, Poll::Ready(Ok(()))) {
--- a/src/proxy/ingress/mod.rs
+++ b/src/proxy/ingress/mod.rs
@@ -185,11 +185,15 @@
         metrics::counter!("jayreach_rejected_total", "status" => status.as_u16().to_string()).increment(1);
         close_if_stopping(&proxy, response(status, format!("{why}\n")))
     };
+    let unavailable = |why: &str, rank: u32, delay: Duration| {
+        with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, why), rank, delay)
+    };
+    let stopping = || unavailable("this proxy stops", 0, Duration::ZERO);
     let Some(config) = proxy.config.borrow().clone() else {
-        return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"), 0, Duration::ZERO);
+        return unavailable("no configuration yet", 0, Duration::ZERO);
     };
     if proxy.refuses_new_requests() {
-        return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0, Duration::ZERO);
+        return stopping();
     }
     let host = head.headers.get(HOST).and_then(|it| it.to_str().ok()).or(head.uri.host());
     let Some(host) = host else { return rejected(StatusCode::BAD_REQUEST, "no host") };
@@ -200,11 +204,7 @@
         return rejected(StatusCode::NOT_FOUND, "no route");
     };
     if !route.is_valid() {
-        return with_retry_after(
-            rejected(StatusCode::SERVICE_UNAVAILABLE, "the route's terms aren't understood"),
-            route.rank,
-            Duration::ZERO,
-        );
+        return unavailable("the route's terms aren't understood", route.rank, Duration::ZERO);
     }
     let route_index =
         config.routes().iter().position(|it| std::ptr::eq(it, route)).expect("the route is part of this configuration");
@@ -216,16 +216,13 @@
     let reading = timeout(config.limits.header_timeout.max(route.timeout), reading);
     let read = tokio::select! {
         it = reading => it,
-        () = proxy.wait_for_answer_deadline() => {
-            return with_retry_after(rejected(StatusCode::SERVICE_UNAVAILABLE, "this proxy stops"), 0, Duration::ZERO);
-        }
+        () = proxy.wait_for_answer_deadline() => return stopping(),
     };
     let body = match read {
         Ok(Ok(it)) => it,
         Ok(Err(ReadError::TooLong)) => return rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too long"),
         Ok(Err(ReadError::NoRoom)) => {
-            let resp = rejected(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body");
-            return with_retry_after(resp, route.rank, RETRY_AFTER_NO_MEMORY);
+            return unavailable("no memory for the body", route.rank, RETRY_AFTER_NO_MEMORY);
         }
         Ok(Err(ReadError::BrokenOff(_))) => return rejected(StatusCode::BAD_REQUEST, "body broke off"),
         Err(_) => return rejected(StatusCode::REQUEST_TIMEOUT, "body too slow"),
--- a/src/proxy/settings.rs
+++ b/src/proxy/settings.rs
@@ -10,6 +10,7 @@
 
 /// The least memory with which a proxy starts, in megabytes.
 const MIN_MEMORY_MB: f64 = 100.0;
+
 /// Settings that the platform writes for a proxy.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -43,7 +44,7 @@
     pub retry_ratio: f64,
     /// Retries allowed beyond `retry_ratio`, for all guards of a service together.
     pub retry_slack: f64,
-    /// Memory that the process may use, in bytes. It bounds the bodies that are held.
+    /// Memory that the process may use, in bytes, which bounds the bodies that are held; `None` for the default.
     pub memory_bytes: Option<usize>,
 }
 
