Calls between proxies don't queue behind long bodies on a slow link

Callers saw: 503 "no free place in time" for short requests while five long uploads, or long answers, went over the same link of 2 MB/s, with idle endpoints.

Cause: of each body 256 KiB and more could be on the way at once, and the messages of a reservation wait behind them for longer than the request may.

Change: the window of a call and of a response is 64 KiB on both sides of a link.

--- a/src/proxy/net.rs
+++ b/src/proxy/net.rs
@@ -20,6 +20,10 @@
 /// How many unanswered probes close the connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// How much of a call or of its response is on its way between two proxies at once, in bytes. On a slow link other
+/// calls, and the pings that show whether it works, wait for as much of each long body.
+pub(super) const PEER_STREAM_WINDOW: u32 = 64 << 10;
+
 /// Opens a non-blocking TCP listener on `address`.
 pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
--- a/src/proxy/peer_link.rs
+++ b/src/proxy/peer_link.rs
@@ -166,6 +166,7 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
+            .initial_stream_window_size(net::PEER_STREAM_WINDOW)
             .handshake(TokioIo::new(stream))
             .await?;
         let closed = Rc::new(Notify::new());
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -41,9 +41,8 @@
 const PEER_PING_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which an unanswered ping closes the connection.
 const PEER_PING_TIMEOUT: Duration = Duration::from_secs(2);
-/// How much of a request's body a peer may send ahead of what the endpoint has read, in bytes.
-const PEER_STREAM_WINDOW: u32 = 256 << 10;
-/// The same for all requests of a peer: bodies that the endpoint doesn't read must not hold up other calls.
+/// How much a peer may send ahead of what has been read, in all its calls together, in bytes. It is far more than
+/// [`net::PEER_STREAM_WINDOW`], so that bodies which the endpoint doesn't read don't hold up other calls.
 const PEER_CONNECTION_WINDOW: u32 = 16 << 20;
 
 /// Accepts connections forever and passes each to `serve`.
@@ -168,7 +167,7 @@
             .timer(TokioTimer::new())
             .keep_alive_interval(PEER_PING_INTERVAL)
             .keep_alive_timeout(PEER_PING_TIMEOUT)
-            .initial_stream_window_size(PEER_STREAM_WINDOW)
+            .initial_stream_window_size(net::PEER_STREAM_WINDOW)
             .initial_connection_window_size(PEER_CONNECTION_WINDOW)
             // Peers don't use the date header.
             .auto_date_header(false)
--- a/standins/tests/large_bodies.rs
+++ b/standins/tests/large_bodies.rs
@@ -14,7 +14,7 @@
     platform::{
         caller::CallerRequest,
         endpoint::long_body,
-        fixtures::{run_count, two_routes},
+        fixtures::{explained_cause, run_count, two_routes},
         http::{self, Message},
         site::{HOST, Proxy, Site, eventually},
     },
@@ -244,10 +244,41 @@
     });
 
     let events: Vec<_> = site.proxies[0].events().into_iter().filter(|it| it["event"] == "standing").collect();
-    assert_eq!(statuses, [Ok(200); 4]);
+    let causes: Vec<String> = (0..4).map(|it| explained_cause(&site, &format!("r-{it}"))).collect();
+    assert_eq!(statuses, [Ok(200); 4], "{causes:?}, {events:?}");
     assert!(events.is_empty(), "{events:?}");
 }
 
+/// Guards against short requests that are refused because their calls queue behind long bodies on a slow link.
+#[rstest]
+#[case::uploads(2 * MB, 10)]
+#[case::answers(10, 2 * MB)]
+fn short_requests_are_served_beside_long_bodies_on_a_slow_link(#[case] body_len: usize, #[case] answer_len: usize) {
+    let site = start_site(1, true);
+    site.proxies[0].endpoint.set_answer_len(answer_len);
+    // About two megabytes a second.
+    let relays = site.proxies[0].relays.clone().expect("the site has relays");
+    relays.peers.set_impairment(Impairment::Delayed(Duration::from_millis(2)));
+    let body = vec![0; body_len];
+
+    let (long, short): (Vec<_>, Vec<_>) = thread::scope(|scope| {
+        let (site, body) = (&site, &body);
+        let send = move |id: String, body: &[u8]| {
+            let resp = request("POST /write/x", &id, body).send_and_read(site.proxies[1].callers);
+            (id, resp.map(|it| it.status()).map_err(|it| it.kind()))
+        };
+        let long: Vec<_> = (0..5).map(|it| scope.spawn(move || send(format!("long-{it}"), body))).collect();
+        thread::sleep(Duration::from_millis(600));
+        site.proxies[0].endpoint.set_answer_len(10);
+        let short = (0..12).map(|it| send(format!("short-{it}"), b"")).collect();
+        (long.into_iter().map(|it| it.join().expect("the caller thread does not panic")).collect(), short)
+    });
+
+    let failed: Vec<_> = long.iter().chain(&short).filter(|it| it.1 != Ok(200)).collect();
+    let causes: Vec<String> = failed.iter().map(|it| explained_cause(&site, &it.0)).collect();
+    assert!(failed.is_empty(), "{failed:?}: {causes:?}");
+}
+
 /// Guards against memory that is kept for the answers of many requests at once, so that some are refused.
 #[test]
 fn many_requests_at_once_are_served() {
