--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -78,7 +78,7 @@
     clients.into_iter().for_each(|it| _ = it.join());
     sleep_ms(500);
     for it in &leaver.lock().arrivals {
-        record.line_at(it.at, format!("i-leaver got {} ran={}", it.id, it.ran));
+        record.line_at(it.at, format!("i-leaver got {} ran={}, X-Deadline-Ms {}", it.id, it.ran, it.deadline_ms));
     }
     let late: Vec<f64> = leaver
         .lock()
