--- a/review/shared-2/kit.rs
+++ b/review/shared-2/kit.rs
@@ -638,9 +638,18 @@
     Ok(read_message(&mut BufReader::new(stream), true)?.map_or(0, |it| it.status()))
 }
 
-/// A port on loopback that is free now.
+/// An address on loopback that is free now. Each has its own IP address, so that no outgoing connection takes its port
+/// before the proxy listens.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    loop {
+        let (pid, next) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let ip = [127, 64 + (pid % 128) as u8, (pid / 128 % 256) as u8, (next % 255) as u8];
+        let address = SocketAddr::from((ip, 7_620));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The processes that this case started, for the watchdog.
