--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -86,6 +86,9 @@
         }
         sleep_ms(200);
     }
+    for it in others.iter().flat_map(|it| it.1.lock().arrivals.clone()) {
+        record.line_at(it.at, format!("{} got {} ran={}", it.instance, it.id, it.ran));
+    }
     record.line(format!(
         "{late} requests later than {} s after the acknowledgement got 404 for the new route, the last {:.1} s after it; \
          {served} were served",
