Review case 5: a late ping that doesn't arrive is no run

Looked for: runs that exit with 0 though the disruption didn't take place. If the proxy didn't listen yet when the late ping came, the run went on and ended as held.

--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -97,6 +97,7 @@
         sleep_ms(1_000);
         let status = leaver.send_ping(beside_leaver.control, "ready", sequence);
         record.line(format!("the delayed ping {sequence} arrives: {status:?}"));
+        status.map_err(|it| format!("the delayed ping got no answer: {it}"))?;
     }
     thread::sleep(STAYS.saturating_sub(acknowledged.elapsed()));
     record.line("backend i-leaver exits");
