Review: a stopped script waits until its proxies have ended

Looked for: processes that a stopped script leaves behind. After a SIGTERM the scripts returned while proxies that had just been killed were still there (19 counted right after five scripts, none some seconds later). The SIGKILL to the case itself is sent on a stop only, as its id may belong to another process after its own end.

--- a/review/shared-2/run.sh
+++ b/review/shared-2/run.sh
@@ -4,16 +4,20 @@
 CASE=review/$1 ROOT=$PWD "target/review-2/case-$1" &
 case_pid=$!
 
-# Ends the proxies of this case that are left, by their ids, and removes its temporary folder.
+# Ends the proxies of this case that are left, by their ids, waits until they are gone, and removes its temporary folder.
 clean_up() {
-    kill -KILL "$case_pid" 2>/dev/null
     for pid in $(sed -n 's/.*(pid \([0-9]*\)).*/\1/p' "review/$1/record.txt" 2>/dev/null); do
-        grep -q "jayreach-review-$case_pid-" "/proc/$pid/environ" 2>/dev/null && kill -KILL "$pid"
+        tries=0
+        while grep -q "jayreach-review-$case_pid-" "/proc/$pid/environ" 2>/dev/null && [ "$tries" -lt 100 ]; do
+            kill -KILL "$pid" 2>/dev/null
+            sleep 0.02
+            tries=$((tries + 1))
+        done
     done
     rm -rf "${TMPDIR:-/tmp}/jayreach-review-$case_pid-"*
 }
 
-trap 'clean_up "$1"; exit 2' HUP INT TERM
+trap 'kill -KILL "$case_pid" 2>/dev/null; clean_up "$1"; exit 2' HUP INT TERM
 wait "$case_pid"
 code=$?
 clean_up "$1"
