A restarted guard serves an announced endpoint only once a health check confirms it

Callers saw: requests sent to an endpoint for seconds after it had deregistered and got its acknowledgement, and no answer for those that ran when it exited.

Cause: what a guard acknowledged was kept in its memory only. After a restart no endpoint is known, and any heartbeat counted as a new incarnation's, so one that was sent before the endpoint left, and arrived late, brought it back. The event lines of the case tell it from the other suspect, the queries after a start: "announced", sequence 5, 1.0 s after the start; the queries had got 503.

Change: while no endpoint is known, a heartbeat that says "ready" has to be confirmed by a health check, which a leaving endpoint fails. The check follows at once and is repeated as after a start; it needs no slots in the reply, as the heartbeat has them. An endpoint whose health checks fail is served once it has announced itself for four intervals, which no late heartbeat does. Heartbeats that say "draining" count at once.

--- a/src/decide/incarnation.rs
+++ b/src/decide/incarnation.rs
@@ -43,6 +43,17 @@
     pub missed_heartbeats: f64,
 }
 
+/// An incarnation that announced itself while none was known and that no health check has confirmed.
+#[derive(Debug, Clone, Copy)]
+pub struct UnconfirmedIncarnation<'a> {
+    /// Its name and start time.
+    pub id: &'a EndpointId,
+    /// Sequence number of its first announcement.
+    pub first_sequence: u64,
+    /// Time since that announcement, in heartbeat intervals.
+    pub heartbeats_since_first: f64,
+}
+
 /// What an announcement means for the known incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnnouncementClass {
@@ -52,7 +63,8 @@
     Update,
     /// A newer incarnation, which replaces the known one.
     NewIncarnation,
-    /// Another endpoint, although the known one seems to be alive; a probe of the address has to confirm it.
+    /// An endpoint that a probe of the address has to confirm: another one although the known one seems to be alive, or
+    /// any while none is known, as its leaving may have been acknowledged before this process started.
     Unconfirmed,
 }
 
@@ -64,15 +76,21 @@
 /// Classifies the announcement number `sequence` of the incarnation `announced`.
 pub fn classify_announcement(
     known: Option<KnownIncarnation<'_>>,
+    unconfirmed: Option<UnconfirmedIncarnation<'_>>,
     retired: &[EndpointId],
     announced: &EndpointId,
     sequence: u64,
 ) -> AnnouncementClass {
     let Some(known) = known else {
-        return if is_retired(retired, announced) {
-            AnnouncementClass::Stale
-        } else {
-            AnnouncementClass::NewIncarnation
+        // One that still announces itself so long after its first announcement here isn't leaving: the later one was
+        // sent after this process started.
+        let goes_on = unconfirmed.is_some_and(|it| {
+            it.id == announced && sequence > it.first_sequence && it.heartbeats_since_first >= DEAD_AFTER_HEARTBEATS
+        });
+        return match (is_retired(retired, announced), goes_on) {
+            (true, _) => AnnouncementClass::Stale,
+            (false, true) => AnnouncementClass::NewIncarnation,
+            (false, false) => AnnouncementClass::Unconfirmed,
         };
     };
     let earlier = announced.started_at.zip(known.id.started_at).is_some_and(|(announced, known)| announced < known);
--- a/src/platform/health.rs
+++ b/src/platform/health.rs
@@ -18,8 +18,8 @@
 pub struct HealthReply {
     /// The name of its incarnation.
     pub id: Box<str>,
-    /// The number of requests that it runs at once; 0 if it does not say so.
-    pub slots: u32,
+    /// The number of requests that it runs at once, if it says so.
+    pub slots: Option<u32>,
     /// What it states about its rate limit.
     pub limit: LimitStatement,
     /// Whether it states that it is leaving.
@@ -27,15 +27,14 @@
 }
 
 /// Checks the health of the endpoint at `address`, at `path` or the default path. Returns `None` if no response comes
-/// within `timeout` or it lacks its incarnation, and unless it is leaving, if the response lacks its slots or has
-/// another status than 200.
+/// within `timeout` or it lacks its incarnation, and unless it is leaving, if the response has another status than 200.
 pub async fn probe_health(address: SocketAddr, path: Option<&str>, timeout: Duration) -> Option<HealthReply> {
     let path = path.unwrap_or(DEFAULT_HEALTH_PATH);
     match proxy::call(address, Method::GET, path, Bytes::new(), timeout).await {
         Ok(resp) if resp.status() == StatusCode::OK || is_leaving(resp.headers()) => {
             let headers = resp.headers();
+            let slots = endpoint_load(headers).map(|it| it.2);
             let (id, leaving) = (instance_id(headers)?.into(), is_leaving(headers));
-            let slots = endpoint_load(headers).map(|it| it.2).or(leaving.then_some(0))?;
             Some(HealthReply { id, slots, limit: limit_statement(headers), leaving })
         }
         Ok(resp) => {
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -36,6 +36,8 @@
 const DISCOVERY_PAUSE: Duration = Duration::from_millis(400);
 /// Maximum number of queries; the endpoint's next heartbeat announces it as well.
 const DISCOVERY_ATTEMPTS: u32 = 3;
+/// Pause between two checks whether the configuration is known.
+const CONFIG_CHECK_PAUSE: Duration = Duration::from_millis(10);
 /// Interval of the event lines with the use of slot time.
 const SLOT_TIMES_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -161,13 +163,29 @@
     /// Queries the endpoint after a restart of this proxy, so that it is known before its next heartbeat.
     async fn discover_endpoint(self: Rc<Self>) {
         sleep(DISCOVERY_DELAY).await;
+        self.find_endpoint().await;
+    }
+
+    /// Queries the endpoint's address until an endpoint is known, a few times. A second call at the same time returns at
+    /// once.
+    async fn find_endpoint(self: Rc<Self>) {
+        if self.finding_endpoint.replace(true) {
+            return;
+        }
+        // The configuration names the path of health checks.
+        while self.config.borrow().is_none() && clock::now() < self.started + DISCOVERY_DELAY {
+            sleep(CONFIG_CHECK_PAUSE).await;
+        }
         for _ in 0..DISCOVERY_ATTEMPTS {
+            if self.guard.has_no_endpoint() {
+                self.check_endpoint_health().await;
+            }
             if !self.guard.has_no_endpoint() {
-                return;
+                break;
             }
-            self.check_endpoint_health().await;
             sleep(DISCOVERY_PAUSE).await;
         }
+        self.finding_endpoint.set(false);
     }
 
     /// Sends a health check to the endpoint's address to learn which incarnation listens there.
@@ -181,9 +199,8 @@
         if leaving {
             return self.guard.handle_health_leaving(&id);
         }
-        let name = id.clone();
-        self.guard.handle_health_reply(Announcement {
-            id: EndpointId { name: id, started_at: None },
+        let found = slots.map(|slots| Announcement {
+            id: EndpointId { name: id.clone(), started_at: None },
             service: settings.service.clone(),
             address: settings.endpoint,
             slots,
@@ -191,7 +208,8 @@
             warmup_left: Duration::ZERO,
             sequence: 0,
         });
-        self.guard.handle_health_notice(&name, limit, sent);
+        self.guard.handle_health_reply(&id, found);
+        self.guard.handle_health_notice(&id, limit, sent);
     }
 
     /// Checks the endpoint's health at intervals while its limit is too low to learn its end from answers. Never
@@ -258,9 +276,13 @@
             let why = format!("this VM's endpoint is {} of {}", settings.endpoint, settings.service);
             return refuse_announcement(self, &it.id.name, &why);
         }
-        if self.guard.handle_announcement(it) == AnnouncementEffect::Conflicting {
+        if self.guard.handle_announcement(it) == AnnouncementEffect::Unconfirmed {
             let proxy = Rc::clone(self);
-            spawn_local(async move { proxy.check_endpoint_health().await });
+            if self.guard.has_no_endpoint() {
+                spawn_local(proxy.find_endpoint());
+            } else {
+                spawn_local(async move { proxy.check_endpoint_health().await });
+            }
         }
         json_response(StatusCode::OK, "{}")
     }
--- a/src/proxy/guard/announcements.rs
+++ b/src/proxy/guard/announcements.rs
@@ -1,14 +1,17 @@
 //! Tracks which incarnation of an endpoint runs on this VM and whether it accepts requests.
 //!
-//! Late announcements of a former incarnation must not replace the current one, and a silent endpoint must not get
-//! requests.
+//! Late announcements of a former incarnation must not replace the current one, nor bring back one whose leaving was
+//! acknowledged before this process started, and a silent endpoint must not get requests.
 
 use std::{rc::Rc, time::Instant};
 
 use super::{Announcement, AnnouncementEffect, Endpoint, EndpointPhase, Guard, notices};
 use crate::{
     decide::{
-        incarnation::{self, AnnouncementClass, DEAD_AFTER_HEARTBEATS, EndpointId, KnownIncarnation, is_retired},
+        incarnation::{
+            self, AnnouncementClass, DEAD_AFTER_HEARTBEATS, EndpointId, KnownIncarnation, UnconfirmedIncarnation,
+            is_retired,
+        },
         rate_limit::EndpointLimit,
         suspicion::StandingTracker,
     },
@@ -31,11 +34,18 @@
                 self.replace_endpoint(it, "announced");
                 AnnouncementEffect::Changed
             }
+            // An endpoint that leaves gets no requests, so it needs no confirmation.
+            AnnouncementClass::Unconfirmed if it.phase == EndpointPhase::Leaving && self.has_no_endpoint() => {
+                self.replace_endpoint(it, "announced");
+                AnnouncementEffect::Changed
+            }
             AnnouncementClass::Unconfirmed => {
-                if it.phase == EndpointPhase::Leaving {
-                    self.state.borrow_mut().retire(it.id);
+                let mut state = self.state.borrow_mut();
+                match it.phase {
+                    EndpointPhase::Leaving => state.retire(it.id),
+                    EndpointPhase::Serving => state.note_unconfirmed(it),
                 }
-                AnnouncementEffect::Conflicting
+                AnnouncementEffect::Unconfirmed
             }
         }
     }
@@ -48,12 +58,20 @@
             accepts_work: known.announcement.phase == EndpointPhase::Serving,
             missed_heartbeats: self.missed_heartbeats(known),
         });
-        incarnation::classify_announcement(known, &state.retired, &it.id, it.sequence)
+        let unconfirmed = state.unconfirmed.as_ref().map(|unconfirmed| UnconfirmedIncarnation {
+            id: &unconfirmed.announcement.id,
+            first_sequence: unconfirmed.first_sequence,
+            heartbeats_since_first: self.heartbeats_since(unconfirmed.first_seen),
+        });
+        incarnation::classify_announcement(known, unconfirmed, &state.retired, &it.id, it.sequence)
     }
 
     fn missed_heartbeats(&self, endpoint: &Endpoint) -> f64 {
-        let silent = clock::now().saturating_duration_since(endpoint.last_seen);
-        silent.as_secs_f64() / self.announce_interval.as_secs_f64()
+        self.heartbeats_since(endpoint.last_seen)
+    }
+
+    fn heartbeats_since(&self, at: Instant) -> f64 {
+        clock::now().saturating_duration_since(at).as_secs_f64() / self.announce_interval.as_secs_f64()
     }
 
     /// Applies a newer announcement of the current incarnation.
@@ -86,21 +104,28 @@
         AnnouncementEffect::Unchanged
     }
 
-    /// Handles a successful health check of the endpoint's address. The reply names the endpoint but not its
-    /// incarnation.
-    pub fn handle_health_reply(self: &Rc<Self>, it: Announcement) {
+    /// Handles a successful health check of the endpoint's address. The reply names the endpoint `name` but not its
+    /// incarnation; `found` describes it, if the reply told enough.
+    pub fn handle_health_reply(self: &Rc<Self>, name: &str, found: Option<Announcement>) {
         let mut state = self.state.borrow_mut();
         if let Some(known) = &mut state.endpoint
-            && known.announcement.id.name == it.id.name
+            && *known.announcement.id.name == *name
         {
             known.last_seen = clock::now();
             return;
         }
-        if is_retired(&state.retired, &it.id) {
+        let confirmed = state.unconfirmed.take_if(|it| *it.announcement.id.name == *name);
+        // The endpoint's own announcement also tells its start and whether it warms up.
+        let (next, why) = match (confirmed, found) {
+            (Some(it), _) => (it.announcement, "announced, and confirmed by health check"),
+            (None, Some(it)) => (it, "found by health check"),
+            (None, None) => return,
+        };
+        if is_retired(&state.retired, &next.id) {
             return;
         }
         drop(state);
-        self.replace_endpoint(it, "found by health check");
+        self.replace_endpoint(next, why);
     }
 
     fn replace_endpoint(self: &Rc<Self>, it: Announcement, why: &str) {
@@ -126,6 +151,7 @@
             limit: EndpointLimit::default(),
             said_leaving,
         };
+        state.unconfirmed = None;
         if let Some(previous) = state.endpoint.replace(next) {
             state.retire(previous.announcement.id);
             if let Ok(pool) = Rc::try_unwrap(previous.pool) {
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -98,8 +98,8 @@
     Unchanged,
     /// The endpoint was replaced, or stopped accepting requests.
     Changed,
-    /// It names another endpoint while the known one seems alive; a health check of the address must decide.
-    Conflicting,
+    /// It names an endpoint that may not be the one at its address; a health check must decide.
+    Unconfirmed,
 }
 
 /// An endpoint that accepts requests.
@@ -134,6 +134,15 @@
     }
 }
 
+/// An endpoint whose announcement waits for a health check that confirms it.
+struct UnconfirmedEndpoint {
+    /// Its last announcement.
+    announcement: Announcement,
+    /// Sequence number of its first announcement.
+    first_sequence: u64,
+    first_seen: Instant,
+}
+
 /// During its warm-up an endpoint gets its slots divided by this.
 const WARMUP_SLOT_DIVISOR: u32 = 2;
 
@@ -144,6 +153,8 @@
 
 struct GuardState {
     endpoint: Option<Endpoint>,
+    /// The last endpoint that announced itself without being confirmed.
+    unconfirmed: Option<UnconfirmedEndpoint>,
     /// Former incarnations, the newest last; at most [`MAX_RETIRED`].
     retired: Vec<EndpointId>,
     queue: WaitQueue,
@@ -193,6 +204,21 @@
         self.retired.push(EndpointId { started_at: Some(started_at), ..id });
     }
 
+    /// Remembers an announcement that a health check has to confirm.
+    fn note_unconfirmed(&mut self, announcement: Announcement) {
+        match &mut self.unconfirmed {
+            Some(it) if it.announcement.id == announcement.id => {
+                if announcement.sequence > it.announcement.sequence {
+                    it.announcement = announcement;
+                }
+            }
+            other => {
+                let first_sequence = announcement.sequence;
+                *other = Some(UnconfirmedEndpoint { announcement, first_sequence, first_seen: clock::now() });
+            }
+        }
+    }
+
     /// Adds the slot time since the last call; must be called whenever the use of the slots may have changed.
     fn account_slot_time(&mut self, now: Instant) {
         let running = saturating_u32(self.ledger.active_runs().count());
@@ -242,6 +268,7 @@
             body_memory,
             state: RefCell::new(GuardState {
                 endpoint: None,
+                unconfirmed: None,
                 retired: Vec::new(),
                 queue: WaitQueue::default(),
                 grant_senders: Vec::new(),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -94,6 +94,8 @@
     events: Rc<EventLog>,
     store: Store,
     guard: Rc<Guard>,
+    /// Whether the endpoint's address is being queried because no endpoint is known.
+    finding_endpoint: Cell<bool>,
     body_memory: Rc<BodyMemory>,
     /// Active configuration; its version never decreases.
     config: RefCell<Option<Rc<Config>>>,
@@ -192,6 +194,7 @@
             settings_path: path.into(),
             store: Store::new(settings.store),
             guard: Rc::new(guard),
+            finding_endpoint: Cell::new(false),
             body_memory,
             events,
             config: RefCell::default(),
