Peers remember an endpoint that left, and bind the next process of its guard

Callers would have seen: requests sent to an endpoint after its leaving had been acknowledged and its guard killed, if the endpoint's health check still says 200, as health checks may: the query after the start then finds it, without any heartbeat.

--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -87,6 +87,7 @@
         spawn_local(Rc::clone(self).join_fleet());
         spawn_local(Rc::clone(self).republish_after_restore());
         spawn_local(Rc::clone(self).announce_changes());
+        spawn_local(Rc::clone(self).tell_peers_of_leaving());
         spawn_local(Rc::clone(self).maintain_links());
         spawn_local(Rc::clone(self).run_anti_entropy());
         spawn_local(Rc::clone(self).announce_versions());
--- a/src/proxy/endpoint_reports.rs
+++ b/src/proxy/endpoint_reports.rs
@@ -1,14 +1,26 @@
-//! What the endpoints of other proxies said about themselves in answers that this proxy passed on.
+//! What the endpoints of other proxies said about themselves, in answers that this proxy passed on or to their guards.
 //!
-//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it. So
-//! each of them reports it with its next reservation, before the guard issues a grant, and sends an endpoint that is
-//! leaving no more requests, whatever the guard's row says.
+//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it, and so
+//! is the guard by what it acknowledged. So a guard tells its peers that its endpoint is leaving; each peer reports what
+//! it knows with its next reservation, before the guard issues a grant, and sends an endpoint that is leaving no more
+//! requests, whatever the guard's row says.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use tokio::task::spawn_local;
 
 use crate::{
     decide::{incarnation::EndpointId, rate_limit::LimitStatement},
-    proxy::{Proxy, clock, directory::ProxyName, endpoint::EndpointNotice, message::EndpointReport},
+    proxy::{
+        Proxy, clock,
+        directory::ProxyName,
+        endpoint::EndpointNotice,
+        gossip::PEER_CALL_TIMEOUT,
+        message::{EndpointReport, LeavingNotice, path},
+    },
 };
 
 /// A report whose age grows.
@@ -109,4 +121,29 @@
         let listed = directory.get(name).and_then(|it| it.endpoints.endpoint.as_ref()).map(|it| &it.id);
         self.endpoint_reports.borrow_mut().record_answer(name, endpoint, notice, listed, clock::now());
     }
+
+    /// Tells the linked proxies each time the endpoint of this VM has said that it is leaving. Never returns.
+    pub(super) async fn tell_peers_of_leaving(self: Rc<Self>) {
+        let mut told = None;
+        loop {
+            self.guard.said_leaving_changed.notified().await;
+            let leaving = self.guard.leaving_endpoint();
+            if let Some(endpoint) = leaving.clone().filter(|_| leaving != told) {
+                let notice = LeavingNotice { name: self.name.clone(), endpoint };
+                for (_, link) in self.links.borrow().iter().filter(|it| it.1.is_connected()) {
+                    let (link, notice) = (Rc::clone(link), notice.clone());
+                    spawn_local(async move {
+                        _ = link.call_within::<_, ()>(PEER_CALL_TIMEOUT, path::LEAVING, &notice).await;
+                    });
+                }
+            }
+            told = leaving;
+        }
+    }
+
+    /// Handles a peer's notice that the endpoint on its VM is leaving.
+    pub(super) fn note_peer_endpoint_leaving(&self, it: &LeavingNotice) {
+        let notice = EndpointNotice { limit: LimitStatement::Unknown, leaving: true };
+        self.record_passed_on(&it.name, &it.endpoint, notice);
+    }
 }
--- a/src/proxy/guard/mod.rs
+++ b/src/proxy/guard/mod.rs
@@ -345,7 +345,13 @@
 
     /// Whether the endpoint itself said that it is leaving. An endpoint that crashed, is silent or was replaced did not.
     pub fn endpoint_said_leaving(&self) -> bool {
-        self.state.borrow().endpoint.as_ref().is_some_and(|it| it.said_leaving)
+        self.leaving_endpoint().is_some()
+    }
+
+    /// The endpoint, if it said that it is leaving.
+    pub fn leaving_endpoint(&self) -> Option<EndpointId> {
+        let state = self.state.borrow();
+        state.endpoint.as_ref().filter(|it| it.said_leaving).map(|it| it.announcement.id.clone())
     }
 
     /// Whether no endpoint has been announced or found yet.
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -47,6 +47,7 @@
     pub(crate) const DELIVER: &str = "/deliver";
     pub(crate) const CRASH_RECORDS: &str = "/cases";
     pub(crate) const WATCH: &str = "/watch";
+    pub(crate) const LEAVING: &str = "/leaving";
 }
 
 /// How an attempt counts against the retry budget.
@@ -126,6 +127,15 @@
     pub needs_warm_endpoint: bool,
 }
 
+/// Tells a peer that the endpoint on the sender's VM said that it is leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct LeavingNotice {
+    /// The sender.
+    pub name: ProxyName,
+    /// The incarnation of the endpoint.
+    pub endpoint: EndpointId,
+}
+
 /// What an endpoint said about itself in answers that a proxy passed on. It binds that proxy, so the proxy tells the
 /// endpoint's guard, which may have restarted since.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/standins/tests/late_heartbeats.rs
+++ b/standins/tests/late_heartbeats.rs
@@ -17,6 +17,8 @@
 
 /// Time from the acknowledgement after which no request may arrive.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time in which the peers learn that an endpoint leaves.
+const GOSSIP_TIME: Duration = Duration::from_millis(200);
 /// Time for the links between proxies after a restart.
 const LINK_TIME: Duration = Duration::from_millis(700);
 /// Time within which an endpoint must be known again after a restart of its guard; its heartbeats are 150 ms apart.
@@ -113,6 +115,35 @@
     assert!(arrived == 0 && served > 0, "{arrived} requests arrived; {served} served");
 }
 
+/// Guards against a restarted guard that takes the endpoint back, whose leaving the one before acknowledged, because its
+/// health check succeeds: the peers remember it.
+#[rstest]
+#[case::the_guard_killed(1)]
+#[case::the_guard_killed_twice(2)]
+fn an_endpoint_that_left_gets_no_requests_after_a_kill_of_its_guard_although_it_seems_healthy(#[case] kills: u32) {
+    let mut site = start_site();
+    let (ingress, guard) = (site.proxies[2].callers, site.proxies[0].announcements);
+    let endpoint = site.proxies[0].endpoint.clone();
+    site.proxies[0].stop_announcements();
+    endpoint.seem_healthy();
+
+    assert_eq!(endpoint.deregister(guard).expect("an answer"), 200);
+    thread::sleep(GOSSIP_TIME);
+    for _ in 0..kills {
+        restart(&mut site.proxies[..1]);
+    }
+    let mut judged_from = Instant::now();
+    let served = under_load(ingress, || {
+        thread::sleep(DRAIN_TIME);
+        judged_from = Instant::now();
+        thread::sleep(Duration::from_secs(1));
+    });
+
+    let arrivals = endpoint.arrivals();
+    let arrived = arrivals.iter().filter(|it| it.at > judged_from && !it.misdirected).count();
+    assert!(arrived == 0 && served > 0, "{arrived} requests arrived; {served} served");
+}
+
 /// Guards against a restarted guard that waits for anything but one health check before it serves a new incarnation.
 #[rstest]
 #[case::the_same_endpoint(false, false)]
