The next proxy in rank watches the store when the watchers of its data centre are gone

Callers saw: 404 for ten seconds for a route that the store had accepted, from proxies to which nothing had happened, after all proxies that watch the store were lost.

Cause: a proxy that isn't a watcher by its rank began to watch when the last confirmation was 11 s old, whatever had become of the watchers; their rows stay for 40 s. The event lines of the case tell it from news that don't spread: `watch` begins at the others with confirmed_ms 11,054, and the version comes from the store in the same millisecond.

Change: each proxy that doesn't watch asks the one before it in rank, in its data centre, five times a second whether that one watches or stands by; without an answer within 0.1 s, up to 13 of those before it on new connections, as open ones may be silent. If none says so, it watches, until one does again. The order of ranks doesn't depend on the members known, so the first of those that are left finds none before it, whichever were lost. A watcher without the store still says that it watches, so that a store that is away gets no further calls. A process that was held up itself draws no conclusion.

--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -1,9 +1,12 @@
 //! Decides which proxies watch the store for a new configuration, as store calls are expensive and a change has to be
-//! active everywhere within seconds. A few proxies watch, chosen by hash, and gossip to the others. The older the
-//! newest confirmation by the store, the more proxies watch, as all watchers may be down or cut off.
+//! active everywhere within seconds. A few proxies watch, chosen by hash, and gossip to the others. When those of a data
+//! centre are gone, the next in rank there watches. The older the newest confirmation by the store, the more proxies
+//! watch, as all watchers may be cut off.
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::util::mix;
 
 /// Watchers in each data centre, so that some reach the store when others are cut off: with one in three unable to, the
@@ -62,6 +65,24 @@
     }
 }
 
+/// What a proxy does for the watch of the store, as those behind it in rank need to know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WatchDuty {
+    /// It watches, whether or not the store answers.
+    Watches,
+    /// It watches once no proxy before it in rank does.
+    StandsBy,
+    /// It does neither, as it has just started.
+    None,
+}
+
+impl WatchDuty {
+    /// Whether the proxies behind it in rank needn't watch.
+    pub fn is_on_duty(self) -> bool {
+        matches!(self, Self::Watches | Self::StandsBy)
+    }
+}
+
 /// The time for which a proxy watches in the place of one that lost the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Substitution {
@@ -117,6 +138,21 @@
     others.filter(|it| score(*it) < own_score).count()
 }
 
+/// Returns the keys of the proxies before `me` in rank, the first in rank first; `others` are the keys of the other proxies
+/// in its data centre. Empty if `me` is a watcher by its rank.
+///
+/// The order doesn't depend on the members known, so that of any proxies that are left, the first in rank finds none before
+/// it.
+pub fn watch_predecessors(me: u64, others: impl Iterator<Item = u64>, data_centres: usize) -> Vec<u64> {
+    let own_score = score(me);
+    let mut before: Vec<u64> = others.filter(|it| score(*it) < own_score).collect();
+    if before.len() < watchers_per_data_centre(data_centres) {
+        return Vec::new();
+    }
+    before.sort_unstable_by_key(|it| score(*it));
+    before
+}
+
 /// Whether the proxy of this rank watches the store; `confirmed_ago` is the age of the newest confirmation known.
 pub fn is_watcher(rank: usize, data_centres: usize, confirmed_ago: Duration) -> bool {
     should_watch(rank, data_centres, confirmed_ago, MAX_CONFIRMATION_AGE)
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -83,6 +83,7 @@
     pub(super) fn start_tasks(self: &Rc<Self>) {
         spawn_local(Rc::clone(self).read_initial_config());
         spawn_local(Rc::clone(self).follow_config());
+        spawn_local(Rc::clone(self).follow_predecessors());
         spawn_local(Rc::clone(self).load_quarantine());
         spawn_local(Rc::clone(self).join_fleet());
         spawn_local(Rc::clone(self).republish_after_restore());
--- a/src/proxy/config_watch.rs
+++ b/src/proxy/config_watch.rs
@@ -37,12 +37,10 @@
     /// Watches the store whenever this proxy is a watcher. Never returns.
     pub(super) async fn follow_config(self: Rc<Self>) {
         let start = clock::now();
-        while !self.members_loaded.get() && clock::now() < start + MEMBERS_TIMEOUT {
-            sleep(WATCHER_CHECK_INTERVAL / 4).await;
-        }
+        self.wait_for_members().await;
         loop {
             while !self.is_watcher(start) {
-                sleep(WATCHER_CHECK_INTERVAL).await;
+                _ = timeout(WATCHER_CHECK_INTERVAL, self.watch_duty_changed.notified()).await;
             }
             self.set_watching(true);
             self.watch_store(start).await;
@@ -51,6 +49,14 @@
         }
     }
 
+    /// Waits for the list of members, but not for long.
+    pub(super) async fn wait_for_members(&self) {
+        let start = clock::now();
+        while !self.members_loaded.get() && clock::now() < start + MEMBERS_TIMEOUT {
+            sleep(WATCHER_CHECK_INTERVAL / 4).await;
+        }
+    }
+
     fn set_watching(&self, begins: bool) {
         self.watching.set(begins);
         self.events.emit(&Event::Watch { begins, confirmed_ms: self.confirmed_ms() });
@@ -65,9 +71,9 @@
         }
     }
 
-    /// Whether this proxy should watch the store, by its rank or as a substitute.
+    /// Whether this proxy should watch the store, by its rank, as a substitute, or as no proxy before it in rank does.
     fn is_watcher(&self, start: Instant) -> bool {
-        if self.substitution.get().is_active(clock::now()) {
+        if self.stands_in.get() || self.substitution.get().is_active(clock::now()) {
             return true;
         }
         let mut directory = self.directory.borrow_mut();
--- a/src/proxy/link_set.rs
+++ b/src/proxy/link_set.rs
@@ -152,7 +152,10 @@
             .collect();
         let selected = subset::choose_peers(directory.own_key(), &candidates);
         let mut selected: Vec<Arc<Row>> = selected.into_iter().map(|at| Arc::clone(rows[at].1)).collect();
+        let predecessor = self.watch_predecessor.get().and_then(|it| directory.get_by_key(it));
+        selected.extend(predecessor.map(Arc::clone));
         selected.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        selected.dedup_by(|a, b| a.name == b.name);
         selected
     }
 
--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -48,6 +48,7 @@
     pub(crate) const CRASH_RECORDS: &str = "/cases";
     pub(crate) const WATCH: &str = "/watch";
     pub(crate) const LEAVING: &str = "/leaving";
+    pub(crate) const WATCH_DUTY: &str = "/watch-duty";
 }
 
 /// How an attempt counts against the retry budget.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -33,6 +33,7 @@
 mod stop;
 mod store_search;
 mod version_news;
+mod watch_succession;
 
 pub use client::CallError;
 pub(crate) use client::call;
@@ -78,7 +79,7 @@
         stop::Signals,
         version_news::ConfigOffer,
     },
-    rows::Stamp,
+    rows::{MemberKey, Stamp},
     startup_signals,
 };
 
@@ -114,6 +115,14 @@
     config_confirmed_at: Cell<Option<Instant>>,
     /// Whether this proxy watches the store on behalf of the fleet.
     watching: Cell<bool>,
+    /// Whether this proxy watches the store once no proxy before it in rank does.
+    stands_by: Cell<bool>,
+    /// Whether this proxy watches the store because no proxy before it in rank does.
+    stands_in: Cell<bool>,
+    /// Notified when `stands_in` changes.
+    watch_duty_changed: Notify,
+    /// The proxy before this one in rank that was last found to watch the store or to stand by.
+    watch_predecessor: Cell<Option<MemberKey>>,
     /// What calls for the configuration told about the store.
     store_reachability: Cell<StoreReachability>,
     /// Held while the store is read for a peer.
@@ -206,6 +215,10 @@
             links_avoided_until: Cell::new(None),
             config_confirmed_at: Cell::new(None),
             watching: Cell::new(false),
+            stands_by: Cell::new(false),
+            stands_in: Cell::new(false),
+            watch_duty_changed: Notify::new(),
+            watch_predecessor: Cell::new(None),
             store_reachability: Cell::default(),
             store_read_turn: Mutex::default(),
             store_search: RefCell::default(),
--- a/src/proxy/peer_server.rs
+++ b/src/proxy/peer_server.rs
@@ -61,6 +61,7 @@
         path::SUMMARY => decode_and_reply(&body, async |it| proxy.answer_summary(it)).await,
         path::COMPARE => decode_and_reply(&body, async |it| proxy.answer_compare(&it)).await,
         path::LEAVING => decode_and_reply(&body, async |it| proxy.note_peer_endpoint_leaving(&it)).await,
+        path::WATCH_DUTY => decode_and_reply(&body, async |()| proxy.watch_duty()).await,
         path::WATCH => decode_and_reply(&body, |()| proxy.read_store_for_peer()).await,
         path::CRASH_RECORDS => decode_and_reply(&body, async |it| proxy.exchange_crash_records(&it)).await,
         path::DELIVER => decode_and_reply(&body, async |it| proxy.answer_deliver(it)).await,
