Proxies learn a new version from the one before them in rank, too

Callers would have seen: 404 for a new route for up to seven seconds, from proxies whose peers were mostly lost without a sign, though a watcher had read the change.

Cause: news of a version goes to four linked peers, and to four more later. While links to lost proxies still look open, all of them may be such, and the proxies that are left may not be linked to each other; then only the exchange of rows, once a second with one linked peer and with a time-out of two, brings the version.

Change: the answer to the question of the succession also tells the active version. The one before in rank is found on new connections if its link gives no answer.

Weighed: telling two others for each peer that gives no answer, which reaches linked peers only.

--- a/src/proxy/message.rs
+++ b/src/proxy/message.rs
@@ -19,6 +19,7 @@
         quarantine::{CrashRecord, CrashRecordUpdate},
         rate_limit::RequestRate,
         suspicion::EndpointStanding,
+        watchers::WatchDuty,
     },
     platform::Era,
     proxy::{
@@ -128,6 +129,15 @@
     pub needs_warm_endpoint: bool,
 }
 
+/// What a proxy does for the watch of the store, and the configuration version that is active there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct WatchDutyReply {
+    /// What it does.
+    pub duty: WatchDuty,
+    /// The active version; 0 for none.
+    pub version: Version,
+}
+
 /// Tells a peer that the endpoint on the sender's VM said that it is leaving.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct LeavingNotice {
--- a/src/proxy/watch_succession.rs
+++ b/src/proxy/watch_succession.rs
@@ -2,7 +2,8 @@
 //!
 //! Each proxy that doesn't watch asks the one before it in rank, several times a second, whether that one watches or
 //! stands by. If no proxy before it does, it watches itself. A watcher that lost the store says that it watches: finding a
-//! proxy that reaches the store is the watcher's task.
+//! proxy that reaches the store is the watcher's task. The answers also tell the configuration version, as news of it may
+//! go to proxies that were lost without a sign.
 
 use std::{rc::Rc, time::Duration};
 
@@ -16,7 +17,7 @@
     proxy::{
         Proxy, clock,
         directory::Row,
-        message::path,
+        message::{WatchDutyReply, path},
         peer_link::{Link, LinkError},
     },
     rows::MemberKey,
@@ -79,12 +80,13 @@
     }
 
     /// What this proxy does for the watch of the store, for a peer that asks.
-    pub(super) fn watch_duty(&self) -> WatchDuty {
-        match (self.watching.get(), self.stands_by.get()) {
+    pub(super) fn watch_duty(&self) -> WatchDutyReply {
+        let duty = match (self.watching.get(), self.stands_by.get()) {
             (true, _) => WatchDuty::Watches,
             (false, true) if !self.watch_predecessors().is_empty() => WatchDuty::StandsBy,
             (false, _) => WatchDuty::None,
-        }
+        };
+        WatchDutyReply { duty, version: self.version() }
     }
 
     /// The proxies of this data centre before this one in rank, the first in rank first; empty if this one is a watcher by
@@ -98,18 +100,18 @@
     }
 
     /// Whether the proxy that this one follows says on its link that it watches or stands by.
-    async fn predecessor_is_on_duty(&self, predecessors: &[MemberKey], patience: Duration) -> bool {
+    async fn predecessor_is_on_duty(self: &Rc<Self>, predecessors: &[MemberKey], patience: Duration) -> bool {
         let followed = self.watch_predecessor.get().filter(|it| predecessors.contains(it));
         let Some(key) = followed.or(predecessors.last().copied()) else { return false };
         self.watch_predecessor.set(Some(key));
         let link = self.links.borrow().iter().find(|it| it.1.key == key).map(|it| Rc::clone(&it.1));
         let Some(link) = link.filter(|it| it.is_connected()) else { return false };
-        timeout(patience, ask_duty(&link)).await.is_ok_and(WatchDuty::is_on_duty)
+        timeout(patience, self.ask_duty(&link)).await.is_ok_and(WatchDuty::is_on_duty)
     }
 
     /// Asks proxies before this one on new connections, as open ones may be silent. Returns the first that says that it
     /// watches or stands by.
-    async fn find_predecessor_on_duty(&self, predecessors: &[MemberKey]) -> Option<MemberKey> {
+    async fn find_predecessor_on_duty(self: &Rc<Self>, predecessors: &[MemberKey]) -> Option<MemberKey> {
         let followed = self.watch_predecessor.get().filter(|it| predecessors.contains(it));
         let mut asked: Vec<MemberKey> = predecessors.iter().take(MAX_ASKED).copied().collect();
         asked.extend(followed.filter(|it| !asked.contains(it)));
@@ -128,21 +130,26 @@
         timeout(ASK_TIMEOUT, first_on_duty).await.ok().flatten()
     }
 
-    async fn ask_duty_on_new_connection(&self, key: MemberKey) -> WatchDuty {
+    async fn ask_duty_on_new_connection(self: &Rc<Self>, key: MemberKey) -> WatchDuty {
         let row = self.directory.borrow().get_by_key(key).map(|it| Row::clone(it));
         let Some(row) = row else { return WatchDuty::None };
         match Link::open(&row).await {
-            Ok((link, _connection)) => ask_duty(&link).await,
+            Ok((link, _connection)) => self.ask_duty(&link).await,
             Err(_) => WatchDuty::None,
         }
     }
-}
 
-async fn ask_duty(link: &Link) -> WatchDuty {
-    match link.call(path::WATCH_DUTY, &()).await {
-        Ok(it) => it,
-        // A proxy of an earlier release is there, and watches if its rank says so.
-        Err(LinkError::Refused(StatusCode::NOT_FOUND)) => WatchDuty::Watches,
-        Err(_) => WatchDuty::None,
+    /// Asks a proxy what it does for the watch of the store, and starts to fetch its configuration if that is newer.
+    async fn ask_duty(self: &Rc<Self>, link: &Link) -> WatchDuty {
+        match link.call::<_, WatchDutyReply>(path::WATCH_DUTY, &()).await {
+            Ok(it) => {
+                link.note_version(it.version);
+                self.fetch_config((it.version, link.key));
+                it.duty
+            }
+            // A proxy of an earlier release is there, and watches if its rank says so.
+            Err(LinkError::Refused(StatusCode::NOT_FOUND)) => WatchDuty::Watches,
+            Err(_) => WatchDuty::None,
+        }
     }
 }
--- a/standins/tests/lost_watchers.rs
+++ b/standins/tests/lost_watchers.rs
@@ -201,3 +201,30 @@
     assert_eq!(meanwhile, 2, "one in each data centre watches meanwhile");
     assert!(eventually(|| watchers(&site) == lost), "{:?} watch, {lost:?} did before", watchers(&site));
 }
+
+/// Guards against news of a change that goes to proxies which were lost without a sign, and to no others. Most proxies are
+/// not linked to each other.
+#[test]
+fn a_change_is_activated_in_half_the_time_while_most_links_lead_nowhere() {
+    let mut site = site_of(24);
+    let mut delays = Vec::new();
+    for version in 2..5 {
+        let watching = watchers(&site);
+        let mut left = vec![watching[version as usize % WATCHERS]];
+        let data_centre = left[0] % 2;
+        left.extend(
+            (0..24).filter(|it| it % 2 == data_centre && !watching.contains(it)).skip(version as usize).take(4),
+        );
+        let lost: Vec<usize> = (0..24).filter(|it| !left.contains(it)).collect();
+
+        lost.iter().for_each(|it| cut_off(&mut site.proxies[*it]));
+        let accepted = now();
+        site.store.put_config(two_routes(version));
+        delays.push(longest_delay(&site, &lost, version, accepted));
+        lost.iter().for_each(|it| bring_back(&mut site.proxies[*it]));
+        wait_for_watchers(&site);
+    }
+
+    println!("active {delays:.2?} s after the change");
+    assert!(delays.iter().all(|it| *it <= ACTIVATION_LIMIT_SECONDS), "active only {delays:.2?} s after the change");
+}
