Interim answers without end break their connection instead of holding the proxy up

Callers would have seen: other requests of the proxy answered after seconds, and the request itself only when its time was up, while an endpoint in trouble sends "HTTP/1.1 100 Continue" again and again. A health check had the same effect.

Cause: hyper reads and drops interim answers for as long as they come, and a server on the same VM sends them faster than any other task of the thread gets its turn.

The run ends as one whose connection broke, and its slot is free.

--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -6,7 +6,10 @@
 use hyper::{
     Method, Request, Response,
     body::{Bytes, Incoming},
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
     header::{CONTENT_TYPE, HOST},
 };
 use hyper_util::rt::TokioIo;
@@ -15,6 +18,7 @@
 
 use crate::proxy::{
     body::OutBody,
+    interim_limit::{InterimAnswers, InterimLimitedStream},
     net::{self, AbortOnDropTask},
 };
 
@@ -43,7 +47,8 @@
 /// An open connection. Dropping it aborts the task that drives it.
 #[derive(Debug)]
 pub(super) struct Connection {
-    pub(super) sender: SendRequest<OutBody>,
+    sender: SendRequest<OutBody>,
+    interim_answers: InterimAnswers,
     _task: AbortOnDropTask,
 }
 
@@ -51,6 +56,8 @@
     /// Connects to `address` and performs the HTTP handshake.
     pub(super) async fn open(address: SocketAddr) -> Result<Self, CallError> {
         let stream = net::connect(address, CONNECT_TIMEOUT).await.map_err(CallError::NotConnected)?;
+        let interim_answers = InterimAnswers::default();
+        let stream = InterimLimitedStream::new(stream, interim_answers.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let task = AbortOnDropTask::spawn(async move {
             if let Err(error) = connection.await {
@@ -58,7 +65,26 @@
                 log::debug!("connection to {address} closed: {error}");
             }
         });
-        Ok(Self { sender, _task: task })
+        Ok(Self { sender, interim_answers, _task: task })
+    }
+
+    /// Waits until the connection takes a request; returns whether it does.
+    pub(super) async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Whether the connection is closed.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the headers of the answer. The error holds the request if nothing was sent.
+    pub(super) async fn send(
+        &mut self,
+        mut req: Request<OutBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<OutBody>>> {
+        self.interim_answers.count(&mut req);
+        self.sender.try_send_request(req).await
     }
 }
 
@@ -86,7 +112,7 @@
         req.headers_mut().insert(HOST, host);
         req.headers_mut()
             .insert(CONTENT_TYPE, "application/json".parse().expect("the content type is a valid header value"));
-        let resp = connection.sender.send_request(req).await?;
+        let resp = connection.send(req).await.map_err(TrySendError::into_error)?;
         let (head, body) = resp.into_parts();
         Ok(Response::from_parts(head, collect_body(body, MAX_RESPONSE_BYTES).await?))
     };
--- a/src/proxy/endpoint.rs
+++ b/src/proxy/endpoint.rs
@@ -179,14 +179,14 @@
                     }
                 },
             };
-            if connection.sender.ready().await.is_err() {
+            if !connection.is_ready().await {
                 if reused {
                     continue;
                 }
                 return RunEnd::NotRun(NotRunReason::NoConnection);
             }
             metrics::counter!("jayreach_endpoint_arrivals_total").increment(1);
-            match connection.sender.try_send_request(hyper_req).await {
+            match connection.send(hyper_req).await {
                 Ok(resp) => {
                     if let Some(it) = EndpointNotice::from_answer(resp.status(), resp.headers(), &req.request_id) {
                         on_notice(it);
@@ -266,7 +266,7 @@
 
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|it| !it.connection.sender.is_closed() && it.idle_since.elapsed() < it.max_idle);
+        idle.retain(|it| !it.connection.is_closed() && it.idle_since.elapsed() < it.max_idle);
         // The most recently used connection is the most likely to be open.
         idle.pop().map(|it| it.connection)
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 mod header_timeout;
 mod headers;
 mod ingress;
+mod interim_limit;
 mod join;
 mod link_set;
 pub mod message;
--- a/standins/src/platform/endpoint.rs
+++ b/standins/src/platform/endpoint.rs
@@ -52,6 +52,17 @@
     SaysMore,
     /// Sends a response without a length that ends with the connection.
     Unframed,
+    /// Runs them and sends these bytes instead of a response.
+    Raw(RawAnswer),
+}
+
+/// Bytes that an endpoint sends instead of a response; `{id}` stands for the id of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RawAnswer {
+    /// The first bytes.
+    pub start: &'static str,
+    /// What it repeats after them until the connection is closed; if empty, it closes the connection.
+    pub repeated: &'static str,
 }
 
 /// A request that arrived at an endpoint.
@@ -130,6 +141,10 @@
     seems_healthy: bool,
     /// Whether its health checks tell its slots.
     tells_load: bool,
+    /// What it sends instead of responses to health checks.
+    raw_health: Option<RawAnswer>,
+    /// Number of answers that it is repeating bytes of.
+    endless_answers: u32,
     arrivals: Vec<Arrival>,
     running: u32,
     max_running: u32,
@@ -184,6 +199,8 @@
             leaving: false,
             seems_healthy: false,
             tells_load: true,
+            raw_health: None,
+            endless_answers: 0,
             arrivals: Vec::new(),
             running: 0,
             max_running: 0,
@@ -320,6 +337,28 @@
         self.lock().seems_healthy = true;
     }
 
+    /// Sets what it sends instead of responses to health checks.
+    pub fn set_raw_health(&self, answer: Option<RawAnswer>) {
+        self.lock().raw_health = answer;
+    }
+
+    /// Number of answers that it is sending without end.
+    pub fn endless_answers(&self) -> u32 {
+        self.lock().endless_answers
+    }
+
+    fn send_raw(&self, writer: &mut TcpStream, answer: RawAnswer, request_id: &str) {
+        let encode = |it: &str| it.replace("{id}", request_id).into_bytes();
+        let sent = writer.write_all(&encode(answer.start));
+        if sent.is_err() || answer.repeated.is_empty() {
+            return;
+        }
+        let repeated = encode(answer.repeated).repeat(64);
+        self.lock().endless_answers += 1;
+        while writer.write_all(&repeated).is_ok() {}
+        self.lock().endless_answers -= 1;
+    }
+
     /// From now on its health checks don't tell its slots.
     pub fn hide_load(&self) {
         self.lock().tells_load = false;
@@ -406,6 +445,10 @@
         let mut reader = BufReader::new(stream);
         while let Ok(Some(req)) = http::read_message(&mut reader) {
             if req.second_word() == self.lock().health_path {
+                let raw = self.lock().raw_health;
+                if let Some(it) = raw {
+                    return self.send_raw(&mut writer, it, "");
+                }
                 let (instance, healthy, tells_load) = {
                     let state = self.lock();
                     (state.instance.clone(), state.seems_healthy || !state.draining, state.tells_load)
@@ -487,6 +530,10 @@
                 _ = writer.write_all(&[header_section.as_bytes(), &body].concat());
                 false
             }
+            EndpointMode::Raw(it) => {
+                self.send_raw(writer, it, &id);
+                false
+            }
             EndpointMode::Sheds | EndpointMode::Hangs => false,
         }
     }
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -33,6 +33,8 @@
     ResetsWatches,
     /// Applies writes, but closes the connection instead of responding to them; reads get responses.
     LosesAnswers,
+    /// Responds to every request with a body without an end.
+    Endless,
 }
 
 #[derive(Clone)]
@@ -171,6 +173,11 @@
             };
             let resp = match mode {
                 StoreMode::Reset => return,
+                StoreMode::Endless => {
+                    _ = writer.write_all(b"HTTP/1.1 200 x\r\n\r\n");
+                    while writer.write_all(&[b' '; 1 << 16]).is_ok() {}
+                    return;
+                }
                 StoreMode::Busy => (503, Value::Null),
                 StoreMode::ResetsWatches if req.second_word().contains("watch=") => return,
                 StoreMode::Good | StoreMode::ResetsWatches | StoreMode::LosesAnswers => self.respond(&req),
