A daemon reads at most 16 MiB of an answer of its store

An endless answer would have filled a daemon's memory until the call's time-out of five seconds, or ended it.

Cause: the body was read to its end, whatever its length.

Change: a longer one is an error.

--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -1,6 +1,10 @@
 //! The HTTP client of the platform's store.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io::{self, Read as _},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use attohttpc::{Method, Response};
 
@@ -10,6 +14,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How much longer than its wait the response to a watch may take; one lost packet delays it by a second.
 const WATCH_SLACK: Duration = Duration::from_millis(1_200);
+/// The longest body of an answer, in bytes: a listing of the presence of thousands of daemons, with room.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -105,14 +111,21 @@
         .ok_or_else(|| StoreError::NoResponse(format!("status {} without a valid ETag", resp.status()).into()))
 }
 
-/// Reads the whole body; fails if its length differs from its Content-Length.
+/// Reads the whole body; fails if it is too long or its length differs from its Content-Length.
 fn read_body(resp: Response) -> Result<Vec<u8>, StoreError> {
     if !resp.is_success() {
         return Err(StoreError::NoResponse(format!("status {}", resp.status()).into()));
     }
     let expected_len: Option<usize> =
         resp.headers().get("Content-Length").and_then(|it| it.to_str().ok()?.parse().ok());
-    let bytes = resp.bytes().map_err(to_store_error)?;
+    let mut bytes = Vec::new();
+    let (_, _, body) = resp.split();
+    body.take(MAX_BODY_BYTES as u64 + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|it| StoreError::NoResponse(it.to_string().into()))?;
+    if bytes.len() > MAX_BODY_BYTES {
+        return Err(StoreError::NoResponse("the body is too long".into()));
+    }
     match expected_len {
         Some(expected_len) if bytes.len() != expected_len => {
             Err(StoreError::NoResponse("the length of the body differs from its Content-Length".into()))
--- a/standins/tests/untrusted_input.rs
+++ b/standins/tests/untrusted_input.rs
@@ -3,15 +3,22 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::{Shutdown, SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use jayreach::daemon::{AnnouncedState, Announcement};
+
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
+use rstest::rstest;
 use standins::{
     deployment::repository_file,
     fleet::{EndpointProfile, Fleet},
@@ -164,3 +171,73 @@
     assert!(timeout.starts_with("HTTP/1.1 400") && timeout.contains("not-run"), "{timeout}");
     fleet.close();
 }
+
+/// Time after which a lookup is late, and in which its caller gets the outcome.
+const LOOKUP_TIME: Duration = Duration::from_millis(1_500);
+
+/// Serves `start`, then `repeated` without end, or closes the connection if that is empty. Returns its address and the
+/// number of answers that it is sending.
+fn serve_raw(start: &'static str, repeated: &'static str) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let sending = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&sending);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let counter = Arc::clone(&counter);
+            thread::spawn(move || {
+                counter.fetch_add(1, Ordering::AcqRel);
+                _ = stream.read(&mut [0; 4096]);
+                let mut sent = stream.write_all(start.as_bytes());
+                while sent.is_ok() && !repeated.is_empty() {
+                    sent = stream.write_all(repeated.repeat(64).as_bytes());
+                }
+                counter.fetch_sub(1, Ordering::AcqRel);
+            });
+        }
+    });
+    (address, sending)
+}
+
+/// Guards against answers of an endpoint in trouble that fill a daemon's memory, hold its threads, or reach a caller as whole.
+#[rstest]
+#[case::interim_answers("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::headers("HTTP/1.1 200 x\r\n", "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n")]
+#[case::a_body("HTTP/1.1 200 x\r\n\r\n", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")]
+#[case::chunks("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n")]
+#[case::a_cut_status_line("HTTP/1.1 20", "")]
+#[case::a_cut_head("HTTP/1.1 200 x\r\nContent-Length: 0\r\n", "")]
+#[case::a_cut_body("HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhel", "")]
+#[case::a_cut_chunk("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhel", "")]
+fn answers_of_endpoints_that_break_off_or_never_end_hold_nothing_in_a_daemon(
+    #[case] start: &'static str,
+    #[case] repeated: &'static str,
+) {
+    let mut fleet = Fleet::start().expect("a store");
+    fleet.add_daemon("dc-1").expect("a daemon");
+    fleet.apply(&repository_file("samples/prairie.toml")).expect("the sample is accepted");
+    let (address, sending) = serve_raw(start, repeated);
+    let (service, state) = ("portal".into(), AnnouncedState::Serving);
+    let announcement = Announcement { service, address, slots: 4, state, load: 0, limit: None };
+    let body = serde_json::to_vec(&announcement).expect("an announcement can be encoded");
+    ureq::post(format!("http://{}/announce", fleet.daemons[0].local)).send(&body[..]).expect("it is accepted");
+    fleet.wait_for_endpoints(1).expect("the endpoint is eligible");
+    let before = usage(fleet.daemons[0].process.id()).expect("usage").resident;
+
+    let caller = fleet.callers()[0];
+    let started = Instant::now();
+    let answers: Vec<_> = thread::scope(|scope| {
+        let lookups: Vec<_> =
+            (0..3).map(|_| scope.spawn(|| ureq::get(format!("http://{caller}/portal")).call().is_ok())).collect();
+        lookups.into_iter().map(|it| it.join().expect("the caller doesn't panic")).collect()
+    });
+    let took = started.elapsed();
+    thread::sleep(LOOKUP_TIME);
+    let after = usage(fleet.daemons[0].process.id()).expect("usage").resident;
+
+    println!("{took:.2?}; {before} to {after} bytes; {} answers are still being sent", sending.load(Ordering::Acquire));
+    assert!(answers.iter().all(|it| !it) && took <= LOOKUP_TIME, "{answers:?} after {took:.2?}");
+    assert_eq!(sending.load(Ordering::Acquire), 0, "connections are still open");
+    assert!(after < before + MAX_GROWTH_BYTES, "{before} to {after} bytes");
+    fleet.close();
+}
