--- a/src/decide/watchers.rs
+++ b/src/decide/watchers.rs
@@ -1,7 +1,7 @@
 //! Decides which proxies watch the store for a new configuration, as store calls are expensive and a change has to be
-//! active everywhere within seconds. A few proxies watch, chosen by hash, and gossip to the others. When those of a data
-//! centre are gone, the next in rank there watches. The older the newest confirmation by the store, the more proxies
-//! watch, as all watchers may be cut off.
+//! active everywhere within seconds. A few proxies watch, chosen by hash, and gossip to the others. When those of a
+//! data centre are gone, the next in rank there watches. The older the newest confirmation by the store, the more
+//! proxies watch, as all watchers may be cut off.
 
 use std::time::{Duration, Instant};
 
@@ -138,11 +138,11 @@
     others.filter(|it| score(*it) < own_score).count()
 }
 
-/// Returns the keys of the proxies before `me` in rank, the first in rank first; `others` are the keys of the other proxies
-/// in its data centre. Empty if `me` is a watcher by its rank.
+/// Returns the keys of the proxies before `me` in rank, the first in rank first; `others` are the keys of the other
+/// proxies in its data centre. Empty if `me` is a watcher by its rank.
 ///
-/// The order doesn't depend on the members known, so that of any proxies that are left, the first in rank finds none before
-/// it.
+/// The order doesn't depend on the members known, so that of any proxies that are left, the first in rank finds none
+/// before it.
 pub fn watch_predecessors(me: u64, others: impl Iterator<Item = u64>, data_centres: usize) -> Vec<u64> {
     let own_score = score(me);
     let mut before: Vec<u64> = others.filter(|it| score(*it) < own_score).collect();
--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -168,8 +168,8 @@
         self.find_endpoint().await;
     }
 
-    /// Queries the endpoint's address until an endpoint is known, a few times. A second call at the same time returns at
-    /// once.
+    /// Queries the endpoint's address until an endpoint is known, a few times. A second call at the same time returns
+    /// at once.
     async fn find_endpoint(self: Rc<Self>) {
         if self.finding_endpoint.replace(true) {
             return;
--- a/src/proxy/endpoint_reports.rs
+++ b/src/proxy/endpoint_reports.rs
@@ -1,9 +1,9 @@
 //! What the endpoints of other proxies said about themselves, in answers that this proxy passed on or to their guards.
 //!
-//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it, and so
-//! is the guard by what it acknowledged. So a guard tells its peers that its endpoint is leaving; each peer reports what
-//! it knows with its next reservation, before the guard issues a grant, and sends an endpoint that is leaving no more
-//! requests, whatever the guard's row says.
+//! A guard that restarts forgets what its endpoint said, but the proxies that passed it on are still bound by it, and
+//! so is the guard by what it acknowledged. So a guard tells its peers that its endpoint is leaving; each peer reports
+//! what it knows with its next reservation, before the guard issues a grant, and sends an endpoint that is leaving no
+//! more requests, whatever the guard's row says.
 
 use std::{
     rc::Rc,
--- a/src/proxy/watch_succession.rs
+++ b/src/proxy/watch_succession.rs
@@ -1,9 +1,9 @@
 //! Has another proxy watch the store when the watchers of its data centre are gone.
 //!
 //! Each proxy that doesn't watch asks the one before it in rank, several times a second, whether that one watches or
-//! stands by. If no proxy before it does, it watches itself. A watcher that lost the store says that it watches: finding a
-//! proxy that reaches the store is the watcher's task. The answers also tell the configuration version, as news of it may
-//! go to proxies that were lost without a sign.
+//! stands by. If no proxy before it does, it watches itself. A watcher that lost the store says that it watches:
+//! finding a proxy that reaches the store is the watcher's task. The answers also tell the configuration version, as
+//! news of it may go to proxies that were lost without a sign.
 
 use std::{rc::Rc, time::Duration};
 
@@ -41,8 +41,7 @@
 const MAX_DELAY: Duration = Duration::from_millis(100);
 
 impl Proxy {
-    /// Sees to it that a proxy of this data centre watches the store, by its rank: keeps [`Self::stands_in`] up to date.
-    /// Never returns.
+    /// Has this proxy watch the store while no proxy before it in rank watches or stands by. Never returns.
     pub(super) async fn follow_predecessors(self: Rc<Self>) {
         self.wait_for_members().await;
         let mut false_alarm_at = None;
@@ -52,6 +51,7 @@
             sleep(pause.mul_f64(rand::rng().random_range(0.9..1.1))).await;
             let predecessors = self.watch_predecessors();
             if predecessors.is_empty() {
+                self.watch_predecessor.set(None);
                 self.set_stands_in(false);
                 continue;
             }
@@ -89,8 +89,8 @@
         WatchDutyReply { duty, version: self.version() }
     }
 
-    /// The proxies of this data centre before this one in rank, the first in rank first; empty if this one is a watcher by
-    /// its rank.
+    /// The proxies of this data centre before this one in rank, the first in rank first; empty if this one is a watcher
+    /// by its rank.
     fn watch_predecessors(&self) -> Vec<MemberKey> {
         let mut directory = self.directory.borrow_mut();
         let data_centres = directory.data_centre_count();
--- a/standins/tests/broken_answers.rs
+++ b/standins/tests/broken_answers.rs
@@ -1,5 +1,5 @@
-//! Guards against answers of endpoints in trouble that break off or never end: no caller may take one for a whole answer, and
-//! none may hold a slot, fill the memory or keep the proxy from other requests.
+//! Guards against answers of endpoints in trouble that break off or never end: no caller may take one for a whole
+//! answer, and none may hold a slot, fill the memory or keep the proxy from other requests.
 
 use std::{
     sync::atomic::{AtomicBool, Ordering},
@@ -23,7 +23,8 @@
 const MAX_DELAY: Duration = Duration::from_millis(500);
 /// Limit for a proxy's memory with a few endless answers of 64 MiB at most, which the memory for bodies has room for.
 const MEMORY_MB: f64 = 100.0;
-/// Limit for a proxy's memory while its own calls get endless answers. Several may be open beside the bodies of callers.
+/// Limit for a proxy's memory while its own calls get endless answers. Several may be open beside the bodies of
+/// callers.
 const OWN_CALLS_MEMORY_MB: f64 = 40.0;
 
 /// One endpoint of `desk` and one of `ledger`; `/write/` goes to `desk` and `/ledger/` to `ledger`.
@@ -45,8 +46,8 @@
     req.send_and_read(site.proxies[1].callers).unwrap_or_default()
 }
 
-/// Sends requests for `ledger` to the proxy in trouble, whose own endpoint serves another service, while `act` runs; returns
-/// their statuses and the longest time that one took.
+/// Sends requests for `ledger` to the proxy whose own endpoint is in trouble, while `act` runs. Returns the result of
+/// `act`, the statuses of those requests and the longest time that one took.
 fn beside_others<T>(site: &Site, act: impl FnOnce() -> T) -> (T, Vec<u16>, Duration) {
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
--- a/standins/tests/late_heartbeats.rs
+++ b/standins/tests/late_heartbeats.rs
@@ -1,5 +1,5 @@
-//! Guards against heartbeats that arrive at a restarted guard although the one before it acknowledged that their endpoint
-//! leaves.
+//! Guards against heartbeats that arrive at a restarted guard although the one before it acknowledged that their
+//! endpoint leaves.
 
 use std::{
     net::SocketAddr,
@@ -115,7 +115,7 @@
     assert!(arrived == 0 && served > 0, "{arrived} requests arrived; {served} served");
 }
 
-/// Guards against a restarted guard that takes the endpoint back, whose leaving the one before acknowledged, because its
+/// Guards against a restarted guard that takes back an endpoint whose leaving the one before acknowledged, because its
 /// health check succeeds: the peers remember it.
 #[rstest]
 #[case::the_guard_killed(1)]
--- a/standins/tests/lost_watchers.rs
+++ b/standins/tests/lost_watchers.rs
@@ -1,5 +1,5 @@
-//! Guards against late configuration changes after all proxies that watch the store were lost together, and against proxies
-//! that watch although the watchers are there.
+//! Guards against late configuration changes after all proxies that watch the store were lost together, and against
+//! proxies that watch although the watchers are there.
 
 use std::{
     thread,
@@ -202,8 +202,8 @@
     assert!(eventually(|| watchers(&site) == lost), "{:?} watch, {lost:?} did before", watchers(&site));
 }
 
-/// Guards against news of a change that goes to proxies which were lost without a sign, and to no others. Most proxies are
-/// not linked to each other.
+/// Guards against news of a change that goes to proxies which were lost without a sign, and to no others. Most proxies
+/// are not linked to each other.
 #[test]
 fn a_change_is_activated_in_half_the_time_while_most_links_lead_nowhere() {
     let mut site = site_of(24);
--- a/standins/tests/untrusted_input.rs
+++ b/standins/tests/untrusted_input.rs
@@ -199,7 +199,8 @@
     (address, sending)
 }
 
-/// Guards against answers of an endpoint in trouble that fill a daemon's memory, hold its threads, or reach a caller as whole.
+/// Guards against answers of an endpoint in trouble that fill a daemon's memory, hold its threads, or reach a caller as
+/// whole.
 #[rstest]
 #[case::interim_answers("", "HTTP/1.1 100 Continue\r\n\r\n")]
 #[case::headers("HTTP/1.1 200 x\r\n", "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n")]
--- a/tests/incarnation.rs
+++ b/tests/incarnation.rs
@@ -87,8 +87,8 @@
     assert_eq!(classify_announcement(None, None, &[id("a", 1_000)], &announced, 99), expected);
 }
 
-/// Guards against a late announcement that brings an endpoint back after the restart of its guard, and against an endpoint
-/// that stays without requests because its health checks fail.
+/// Guards against a late announcement that brings an endpoint back after the restart of its guard, and against an
+/// endpoint that stays without requests because its health checks fail.
 #[rstest]
 #[case::late(id("a", 1_000), 8, 3.9, AnnouncementClass::Unconfirmed)]
 #[case::repeated(id("a", 1_000), 7, 60.0, AnnouncementClass::Unconfirmed)]
